Set down the kernel, its tasks and the checked settings

Cause: the shape asks for a micro-kernel whose services find each other by name, and tasks that own their state and talk by messages. Change: kernel (registry, start order, mailboxes, socket tasks, timers, death policy) and settings that are declared once.

--- /dev/null
+++ b/monsoontray/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Start services by name and carry messages between their tasks."""
--- /dev/null
+++ b/monsoontray/kernel/kernel.py
@@ -0,0 +1,148 @@
+"""The kernel: a registry of services, their start order and their deaths."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass
+from graphlib import TopologicalSorter
+from typing import Any, Protocol
+
+from loguru import logger
+
+from monsoontray.kernel.clock import Clock
+from monsoontray.kernel.errors import DuplicateServiceError, UnknownServiceError
+from monsoontray.kernel.mailbox import Mailbox, Reply
+from monsoontray.kernel.messages import StopRequested, TaskDied
+
+RESTART_LIMIT = 5  # restarts of one service within the window
+RESTART_WINDOW_S = 60.0
+
+
+class Service(Protocol):
+    """Offer something to other services under a name."""
+
+    def start(self) -> None:
+        """Begin to serve."""
+
+    def stop(self, deadline: float) -> None:
+        """End before the deadline."""
+
+    def post(self, message: Any) -> None:
+        """Take a message."""
+
+
+class DeathPolicy(enum.Enum):
+    """Say what follows when a task of a service dies."""
+
+    RESTART = "restart"
+    STOP_NODE = "stop-node"
+
+
+@dataclass(slots=True, frozen=True)
+class Registration:
+    """Describe a service to the kernel."""
+
+    name: str
+    requires: tuple[str, ...]
+    build: Callable[[Kernel], Service]
+    on_death: DeathPolicy = DeathPolicy.STOP_NODE
+
+
+class Kernel:
+    """Start, connect and stop services."""
+
+    def __init__(self, clock: Clock, stop_grace_s: float = 10.0) -> None:
+        self.clock = clock
+        self.stop_grace_s = stop_grace_s
+        self._registrations: dict[str, Registration] = {}
+        self._services: dict[str, Any] = {}
+        self._started: list[str] = []
+        self._deaths: dict[str, list[float]] = {}
+        self._mailbox = Mailbox(clock)
+        self.failed = False
+
+    def register(self, registration: Registration) -> None:
+        """Add a service under its name."""
+        if registration.name in self._registrations:
+            raise DuplicateServiceError(registration.name)
+        self._registrations[registration.name] = registration
+
+    def find(self, name: str) -> Any:
+        """Return the service of a name."""
+        try:
+            return self._services[name]
+        except KeyError:
+            raise UnknownServiceError(name) from None
+
+    def post(self, name: str, message: object) -> None:
+        """Send a message to the service of a name."""
+        self.find(name).post(message)
+
+    def ask(self, name: str, build: Callable[[Reply], object], deadline: float) -> Any:
+        """Send a message that carries a reply slot and return the answer."""
+        reply = Reply(self.clock)
+        self.post(name, build(reply))
+        return reply.take(deadline)
+
+    def post_to_kernel(self, message: object) -> None:
+        """Send a message to the kernel itself; safe in a signal handler."""
+        self._mailbox.put(message)
+
+    def start(self) -> None:
+        """Start every service after those that it requires."""
+        order = self._find_start_order()
+        for name in order:
+            self._services[name] = self._registrations[name].build(self)
+        for name in order:
+            self._services[name].start()
+            self._started.append(name)
+
+    def run(self) -> None:
+        """Watch over the services until a stop is requested."""
+        while True:
+            message = self._mailbox.take(None)
+            if isinstance(message, StopRequested):
+                logger.info("stopping: {}", message.reason)
+                return
+            if isinstance(message, TaskDied) and not self._recover(message):
+                self.failed = True
+                return
+
+    def stop(self) -> None:
+        """Stop the services in reverse order of their start."""
+        deadline = self.clock.now() + self.stop_grace_s
+        for name in reversed(self._started):
+            self._services[name].stop(deadline)
+        self._started.clear()
+
+    def _find_start_order(self) -> list[str]:
+        sorter: TopologicalSorter[str] = TopologicalSorter()
+        for registration in self._registrations.values():
+            for name in registration.requires:
+                if name not in self._registrations:
+                    raise UnknownServiceError(name)
+            sorter.add(registration.name, *registration.requires)
+        return list(sorter.static_order())
+
+    def _recover(self, death: TaskDied) -> bool:
+        registration = self._registrations[death.service]
+        logger.opt(exception=death.error).error("task {} died", death.service)
+        if registration.on_death is DeathPolicy.STOP_NODE:
+            return False
+        now = self.clock.now()
+        recent = [
+            time
+            for time in self._deaths.get(death.service, [])
+            if time > now - RESTART_WINDOW_S
+        ]
+        recent.append(now)
+        self._deaths[death.service] = recent
+        if len(recent) > RESTART_LIMIT:
+            logger.error("task {} died too often", death.service)
+            return False
+        service = registration.build(self)
+        self._services[death.service] = service
+        service.start()
+        logger.info("task {} restarted", death.service)
+        return True
--- /dev/null
+++ b/monsoontray/kernel/sockets.py
@@ -0,0 +1,101 @@
+"""Tasks that wait for sockets, deadlines and messages at once."""
+
+from __future__ import annotations
+
+import select
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
+
+from monsoontray.kernel.mailbox import SocketMailbox
+from monsoontray.kernel.messages import Stop
+from monsoontray.kernel.task import Handler, Task
+from monsoontray.kernel.timers import Timers
+
+if TYPE_CHECKING:
+    from monsoontray.kernel.kernel import Kernel
+
+READABLE = select.EPOLLIN
+WRITABLE = select.EPOLLOUT
+BROKEN = select.EPOLLERR | select.EPOLLHUP
+
+
+class SocketOwner(Protocol):
+    """Act on events of a socket."""
+
+    def act(self, events: int) -> None:
+        """Act on a mask of READABLE, WRITABLE and BROKEN."""
+
+
+class SocketTask(Task):
+    """Run one thread that owns sockets, timers and a mailbox."""
+
+    def __init__(self, name: str, kernel: Kernel, handler: Handler) -> None:
+        super().__init__(name, kernel, handler)
+        self.mailbox = SocketMailbox()
+        self.timers = Timers()
+        self._epoll = select.epoll()
+        self._owners: dict[int, Callable[[int], None]] = {}
+        self._ended = False
+
+    def add_socket(self, descriptor: int, owner: SocketOwner, events: int) -> None:
+        """Send the events of a descriptor to its owner."""
+        self._owners[descriptor] = owner.act
+        self._epoll.register(descriptor, events)
+
+    def change_events(self, descriptor: int, events: int) -> None:
+        """Change the events that a descriptor is watched for."""
+        self._epoll.modify(descriptor, events)
+
+    def remove_socket(self, descriptor: int) -> None:
+        """Watch a descriptor no longer."""
+        if self._owners.pop(descriptor, None) is not None:
+            self._epoll.unregister(descriptor)
+
+    def end(self) -> None:
+        """Leave the serving loop after the current event."""
+        self._ended = True
+
+    def begin_stop(self, deadline: float) -> None:
+        """Act on the request to stop; ends at once unless overridden."""
+        self.end()
+
+    def finish_event(self) -> None:
+        """Complete the work that an event left behind."""
+
+    def serve(self) -> None:
+        """Wait for sockets, deadlines and messages until the end."""
+        mailbox_descriptor = self.mailbox.fileno()
+        self._epoll.register(mailbox_descriptor, READABLE)
+        owners = self._owners
+        poll = self._epoll.poll
+        while not self._ended:
+            for descriptor, events in poll(self._find_wait()):
+                if descriptor == mailbox_descriptor:
+                    self._take_messages()
+                    continue
+                act = owners.get(descriptor)
+                if act is not None:
+                    act(events)
+                    self.finish_event()
+            self.timers.run_due(self.clock.now())
+            self.finish_event()
+
+    def close(self) -> None:
+        """Release the selector and the mailbox."""
+        self._epoll.close()
+        self.mailbox.close()
+
+    def _find_wait(self) -> float:
+        deadline = self.timers.find_next_deadline()
+        if deadline is None:
+            return -1.0
+        return max(0.0, deadline - self.clock.now())
+
+    def _take_messages(self) -> None:
+        for message in self.mailbox.take_all():
+            if isinstance(message, Stop):
+                self.stop_deadline = message.deadline
+                self.begin_stop(message.deadline)
+            else:
+                self._handler(message, self)
+            self.finish_event()
--- /dev/null
+++ b/monsoontray/kernel/timers.py
@@ -0,0 +1,71 @@
+"""Timers ordered by deadline."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heapify, heappop, heappush
+from itertools import count
+
+_COMPACT_ABOVE = 1024  # cancelled timers
+
+
+class Timer:
+    """Call a function once when its deadline passes."""
+
+    __slots__ = ("action", "deadline")
+
+    def __init__(self, deadline: float, action: Callable[[], None]) -> None:
+        self.deadline = deadline
+        self.action: Callable[[], None] | None = action
+
+
+class Timers:
+    """Keep timers in order of their deadlines."""
+
+    __slots__ = ("_cancelled", "_heap", "_order")
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._order = count()
+        self._cancelled = 0
+
+    def add(self, deadline: float, action: Callable[[], None]) -> Timer:
+        """Add a timer that runs an action at a deadline."""
+        timer = Timer(deadline, action)
+        heappush(self._heap, (deadline, next(self._order), timer))
+        return timer
+
+    def cancel(self, timer: Timer) -> None:
+        """Forget a timer."""
+        if timer.action is None:
+            return
+        timer.action = None
+        self._cancelled += 1
+        if self._cancelled > _COMPACT_ABOVE and self._cancelled * 2 > len(self._heap):
+            self._compact()
+
+    def find_next_deadline(self) -> float | None:
+        """Return the earliest deadline, or None when no timer is set."""
+        while self._heap and self._heap[0][2].action is None:
+            heappop(self._heap)
+            self._cancelled -= 1
+        if not self._heap:
+            return None
+        return self._heap[0][0]
+
+    def run_due(self, now: float) -> None:
+        """Run the actions whose deadlines have passed."""
+        heap = self._heap
+        while heap and heap[0][0] <= now:
+            timer = heappop(heap)[2]
+            if timer.action is None:
+                self._cancelled -= 1
+                continue
+            action = timer.action
+            timer.action = None
+            action()
+
+    def _compact(self) -> None:
+        self._heap = [entry for entry in self._heap if entry[2].action is not None]
+        heapify(self._heap)
+        self._cancelled = 0
--- /dev/null
+++ b/monsoontray/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Declare, check and load the settings of a node."""
--- /dev/null
+++ b/monsoontray/settings/page.py
@@ -0,0 +1,46 @@
+"""Write the reference page of the settings."""
+
+from __future__ import annotations
+
+from monsoontray.settings.declarations import DECLARATIONS, Declaration
+
+_KINDS = {str: "string", int: "whole number", list: "list of strings"}
+
+
+def render_page() -> str:
+    """Return the page, in Markdown."""
+    lines = [
+        "# Settings",
+        "",
+        "A node reads one JSON object. This page is made from the declarations by",
+        "`make settings-page`; `monsoontray check-settings FILE` checks a file.",
+        "",
+        "| name | type | unit | default | range | meaning |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    lines.extend(_render_row(declaration) for declaration in DECLARATIONS)
+    return "\n".join(lines) + "\n"
+
+
+def _render_row(declaration: Declaration) -> str:
+    default = "required" if declaration.required else f"`{declaration.default!r}`"
+    limits = ""
+    if declaration.least is not None:
+        limits = f"{declaration.least} to {declaration.most}"
+    if declaration.choices:
+        limits = ", ".join(declaration.choices)
+    if declaration.is_address:
+        limits = "IP:PORT"
+    cells = (
+        f"`{declaration.name}`",
+        _KINDS[declaration.kind],
+        declaration.unit,
+        default,
+        limits,
+        declaration.meaning,
+    )
+    return "| " + " | ".join(cells) + " |"
+
+
+if __name__ == "__main__":
+    print(render_page(), end="")
--- /dev/null
+++ b/monsoontray/settings/settings.py
@@ -0,0 +1,167 @@
+"""Checked settings and how they are read."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from difflib import get_close_matches
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from monsoontray.settings.declarations import DECLARATIONS, Declaration
+from monsoontray.settings.errors import SettingsError
+
+_KIND_NAMES = {str: "a string", int: "a whole number", list: "a list of strings"}
+MS_PER_S = 1000.0
+
+
+@dataclass(slots=True, frozen=True)
+class Address:
+    """Name an IP address and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Settings:
+    """Give the checked value of each declared setting."""
+
+    __slots__ = ("_values",)
+
+    def __init__(self, values: dict[str, Any]) -> None:
+        self._values = values
+
+    def get_text(self, name: str) -> str:
+        """Return a setting that is a string."""
+        return str(self._values[name])
+
+    def get_number(self, name: str) -> int:
+        """Return a setting that is a whole number."""
+        return int(self._values[name])
+
+    def get_seconds(self, name: str) -> float:
+        """Return a setting in milliseconds as seconds."""
+        return float(self._values[name]) / MS_PER_S
+
+    def get_texts(self, name: str) -> tuple[str, ...]:
+        """Return a setting that is a list of strings."""
+        return tuple(self._values[name])
+
+    def get_address(self, name: str) -> Address:
+        """Return a setting that is an address."""
+        return parse_address(str(self._values[name]))
+
+    def get_bind_address(self, name: str) -> Address:
+        """Return where to listen for an address that others are told."""
+        bind = str(self._values[name.replace("_address", "_bind_address")])
+        return parse_address(bind) if bind else self.get_address(name)
+
+    def get_values(self) -> dict[str, Any]:
+        """Return every setting by name."""
+        return dict(self._values)
+
+
+def parse_address(text: str) -> Address:
+    """Return the address that ``IP:PORT`` names; raise ValueError."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdecimal():
+        raise ValueError(f"{text!r} is not IP:PORT")
+    number = int(port)
+    if not 0 < number < 65_536:
+        raise ValueError(f"{text!r} has a port outside 1 to 65535")
+    return Address(host, number)
+
+
+def load_settings(path: Path) -> Settings:
+    """Read and check a settings file; raise SettingsError."""
+    try:
+        content = path.read_bytes()
+    except OSError as error:
+        raise SettingsError(f"can't read {path}: {error.strerror}") from error
+    try:
+        document = msgspec.json.decode(content)
+    except msgspec.DecodeError as error:
+        raise SettingsError(f"{path} is not JSON: {error}") from error
+    return check_settings(document)
+
+
+def check_settings(document: object) -> Settings:
+    """Return the settings that a document states; raise SettingsError."""
+    if not isinstance(document, dict):
+        raise SettingsError("settings must be a JSON object")
+    known = {declaration.name: declaration for declaration in DECLARATIONS}
+    for key, value in document.items():
+        if key not in known:
+            raise SettingsError(_describe_unknown_key(key, value, list(known)))
+    values = {}
+    for declaration in DECLARATIONS:
+        values[declaration.name] = _check_value(declaration, document)
+    return Settings(values)
+
+
+def _describe_unknown_key(key: str, value: object, known: list[str]) -> str:
+    message = f"unknown setting {key!r} (value {value!r})"
+    nearest = get_close_matches(key, known, n=1, cutoff=0.0)
+    return f"{message}; the nearest known name is {nearest[0]!r}"
+
+
+def _check_value(declaration: Declaration, document: dict[str, Any]) -> Any:
+    name = declaration.name
+    if name not in document:
+        if declaration.required:
+            raise SettingsError(f"setting {name!r} is missing")
+        return declaration.default
+    value = document[name]
+    if not isinstance(value, declaration.kind) or isinstance(value, bool):
+        wanted = _KIND_NAMES[declaration.kind]
+        raise SettingsError(f"setting {name!r} must be {wanted}, not {value!r}")
+    if isinstance(value, list):
+        _check_list(declaration, value)
+    if isinstance(value, int):
+        _check_range(declaration, value)
+    if isinstance(value, str):
+        _check_text(declaration, value)
+    return value
+
+
+def _check_list(declaration: Declaration, value: list[Any]) -> None:
+    for item in value:
+        if not isinstance(item, str):
+            raise SettingsError(
+                f"setting {declaration.name!r} must be a list of strings, "
+                f"but holds {item!r}"
+            )
+        _check_text(declaration, item)
+    if declaration.required and not value:
+        raise SettingsError(
+            f"setting {declaration.name!r} must not be empty: {value!r}"
+        )
+
+
+def _check_range(declaration: Declaration, value: int) -> None:
+    least, most = declaration.least, declaration.most
+    too_small = least is not None and value < least
+    too_large = most is not None and value > most
+    if too_small or too_large:
+        unit = f" {declaration.unit}" if declaration.unit else ""
+        raise SettingsError(
+            f"setting {declaration.name!r} must be {least} to {most}{unit}, not {value}"
+        )
+
+
+def _check_text(declaration: Declaration, value: str) -> None:
+    name = declaration.name
+    if declaration.required and not value:
+        raise SettingsError(f"setting {name!r} must not be empty: {value!r}")
+    if declaration.choices and value not in declaration.choices:
+        choices = ", ".join(declaration.choices)
+        raise SettingsError(f"setting {name!r} must be one of {choices}, not {value!r}")
+    if declaration.is_address and value:
+        try:
+            parse_address(value)
+        except ValueError as error:
+            raise SettingsError(f"setting {name!r}: {error}") from None
