--- /dev/null
+++ b/monsoontray/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Accept, spread and enforce versions of the operators' lists."""
--- /dev/null
+++ b/monsoontray/configuration/acceptance.py
@@ -0,0 +1,207 @@
+"""The task that takes operators' changes to the platform's service."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from loguru import logger
+
+from monsoontray.configuration.messages import (
+    Accepted,
+    History,
+    HistoryOutcome,
+    Overtaken,
+    ProposalOutcome,
+    ProposeLists,
+    ReadHistory,
+    Rejected,
+    StoreFailed,
+    Undecided,
+)
+from monsoontray.configuration.records import (
+    HEAD_KEY,
+    build_version_key,
+    decode_head,
+    encode_head,
+)
+from monsoontray.kernel.kernel import DeathPolicy, Kernel, Registration
+from monsoontray.kernel.task import Task
+from monsoontray.plans.encoding import (
+    compute_digest,
+    decode_lists,
+    decode_version,
+    encode_version,
+)
+from monsoontray.plans.errors import DamagedVersionError, InvalidListsError
+from monsoontray.plans.model import NO_VERSION, Lists, Version, VersionName
+from monsoontray.store.outcomes import (
+    ABSENT,
+    Conflict,
+    Done,
+    NotDone,
+    Record,
+    Unknown,
+)
+
+if TYPE_CHECKING:
+    from monsoontray.store.client import StoreClient
+
+NAME = "acceptance"
+MAX_CONTENT_BYTES = 1_000_000  # the platform holds values up to a megabyte
+HEAD_ATTEMPTS = 4
+
+
+class Acceptance(Task):
+    """Own a store client and write accepted versions with it."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(NAME, kernel, handle_message)
+        self._client: StoreClient = kernel.find("store").open_client()
+
+    def close(self) -> None:
+        """Release the client."""
+        self._client.close()
+
+    def propose(self, message: ProposeLists) -> ProposalOutcome:
+        """Accept lists as the next version, or say why not."""
+        try:
+            lists = decode_lists(message.lists)
+        except InvalidListsError as error:
+            return Rejected(tuple(error.faults))
+        record = self._client.get(HEAD_KEY)
+        if isinstance(record, NotDone):
+            return StoreFailed(record.cause.value)
+        head = decode_head(record)
+        if head.number != message.based_on:
+            return self._tell_overtaken(message.based_on, head)
+        return self._accept(lists, message.author, head, record.revision)
+
+    def read_history(self, count: int) -> HistoryOutcome:
+        """Return the latest versions, the newest first."""
+        record = self._client.get(HEAD_KEY)
+        if isinstance(record, NotDone):
+            return StoreFailed(record.cause.value)
+        versions: list[Version] = []
+        name: VersionName | None = decode_head(record)
+        while name is not None and name != NO_VERSION and len(versions) < count:
+            version = self._read_version(name)
+            if isinstance(version, StoreFailed):
+                return version
+            versions.append(version)
+            name = version.previous
+        return History(tuple(versions))
+
+    def _accept(
+        self, lists: Lists, author: str, head: VersionName, revision: int
+    ) -> ProposalOutcome:
+        previous = None if head == NO_VERSION else head
+        accepted_at = self.clock.wall()
+        version = Version(head.number + 1, previous, author, accepted_at, lists)
+        content = encode_version(version)
+        if len(content) > MAX_CONTENT_BYTES:
+            fault = f"the lists take {len(content)} of {MAX_CONTENT_BYTES} bytes"
+            return Rejected((fault,))
+        name = VersionName(version.number, compute_digest(content))
+        written = self._write_content(name, content)
+        if written is not None:
+            return written
+        result = self._move_head(name, head, revision)
+        logger.bind(version=name.number).info("proposal by {}: {}", author, result)
+        return result
+
+    def _move_head(
+        self, name: VersionName, head: VersionName, revision: int
+    ) -> ProposalOutcome:
+        """Move the head by compare-and-swap.
+
+        A write without an answer is read back; while the head has not moved, the
+        same write is repeated, which can take effect once at most.
+        """
+        cause = ""
+        for _ in range(HEAD_ATTEMPTS):
+            value = encode_head(name)
+            outcome = self._client.compare_and_swap(HEAD_KEY, revision, value)
+            if isinstance(outcome, Done):
+                return Accepted(name)
+            if isinstance(outcome, NotDone) and not cause:
+                return StoreFailed(outcome.cause.value)
+            if not isinstance(outcome, Conflict):
+                cause = outcome.cause.value
+            record = self._client.get(HEAD_KEY)
+            if isinstance(record, NotDone):
+                continue
+            if record.revision != revision:
+                return self._compare_with_head(name, decode_head(record))
+        return Undecided(name, cause or "conflict")
+
+    def _write_content(self, name: VersionName, content: bytes) -> StoreFailed | None:
+        """Write content under the key that its digest names."""
+        key = build_version_key(name)
+        outcome = self._client.compare_and_swap(key, ABSENT, content)
+        if isinstance(outcome, Done | Conflict):
+            return None  # a conflict means that the same content is there
+        if isinstance(outcome, Unknown):
+            found = self._client.get(key)
+            if isinstance(found, Record) and found.value == content:
+                return None
+        return StoreFailed(outcome.cause.value)
+
+    def _compare_with_head(
+        self, name: VersionName, head: VersionName
+    ) -> ProposalOutcome:
+        """Find out from a head that has moved whether a write took effect."""
+        current = head
+        while current.number > name.number:
+            version = self._read_version(current)
+            if isinstance(version, StoreFailed) or version.previous is None:
+                return Undecided(name, "history-unread")
+            current = version.previous
+        if current == name:
+            return Accepted(name)
+        return self._tell_overtaken(name.number - 1, head)
+
+    def _tell_overtaken(self, based_on: int, head: VersionName) -> ProposalOutcome:
+        author = ""
+        if head != NO_VERSION:
+            version = self._read_version(head)
+            author = "" if isinstance(version, StoreFailed) else version.author
+        return Overtaken(based_on, head.number, author)
+
+    def _read_version(self, name: VersionName) -> Version | StoreFailed:
+        record = self._client.get(build_version_key(name))
+        if isinstance(record, NotDone):
+            return StoreFailed(record.cause.value)
+        try:
+            return decode_version(record.value, name)
+        except DamagedVersionError as error:
+            return StoreFailed(str(error))
+
+
+@singledispatch
+def handle_message(message: Any, acceptance: Acceptance) -> None:
+    """Act on a message."""
+    raise TypeError(f"no such message: {message!r}")
+
+
+@handle_message.register(ProposeLists)
+def _(message: ProposeLists, acceptance: Acceptance) -> None:
+    try:
+        message.reply.put(acceptance.propose(message))
+    except msgspec.DecodeError as error:
+        message.reply.put(StoreFailed(f"the head record is damaged: {error}"))
+
+
+@handle_message.register(ReadHistory)
+def _(message: ReadHistory, acceptance: Acceptance) -> None:
+    try:
+        message.reply.put(acceptance.read_history(message.count))
+    except msgspec.DecodeError as error:
+        message.reply.put(StoreFailed(f"the head record is damaged: {error}"))
+
+
+def setup(kernel: Kernel) -> None:
+    """Register the service."""
+    requires = ("settings", "store", "configuration")
+    kernel.register(Registration(NAME, requires, Acceptance, DeathPolicy.RESTART))
--- /dev/null
+++ b/monsoontray/configuration/records.py
@@ -0,0 +1,46 @@
+"""Keys and records of versions in the platform's key-value service."""
+
+from __future__ import annotations
+
+import msgspec
+
+from monsoontray.plans.model import NO_VERSION, VersionName
+from monsoontray.store.outcomes import ABSENT, Record
+
+HEAD_KEY = "config/head"
+DIRECTORY_KEY = "directory"
+
+
+class Directory(msgspec.Struct, frozen=True):
+    """List the peer addresses of each zone's nodes."""
+
+    zones: dict[str, dict[str, str]]  # "region/zone" to node to peer address
+
+
+def build_version_key(name: VersionName) -> str:
+    """Return the key of a version's content."""
+    return f"config/versions/{name.number}-{name.digest[:16]}"
+
+
+def build_watch_key(region: str, zone: str) -> str:
+    """Return the key of the lease to watch for a zone."""
+    return f"watch/{region}/{zone}"
+
+
+def encode_head(name: VersionName) -> bytes:
+    """Return the bytes of the head record."""
+    return msgspec.json.encode(name)
+
+
+def decode_head(record: Record) -> VersionName:
+    """Return the version that the head record names; raise DecodeError."""
+    if record.revision == ABSENT:
+        return NO_VERSION
+    return msgspec.json.decode(record.value, type=VersionName)
+
+
+def decode_directory(record: Record) -> Directory:
+    """Return the directory; raise DecodeError."""
+    if record.revision == ABSENT:
+        return Directory({})
+    return msgspec.json.decode(record.value, type=Directory)
--- /dev/null
+++ b/monsoontray/configuration/service.py
@@ -0,0 +1,238 @@
+"""The task that owns which version is in force at this node."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+from typing import Any
+
+from loguru import logger
+
+from monsoontray.configuration.messages import (
+    BaselineFound,
+    ContentFetched,
+    ContentNotFetched,
+    PeersAnswered,
+    ReadContent,
+    ReadVersion,
+    VersionHeard,
+    VersionInUse,
+)
+from monsoontray.decisions.admission import Entitlements
+from monsoontray.decisions.adoption import (
+    Adoption,
+    AdoptionState,
+    enforce,
+    hear_of,
+    may_enforce,
+)
+from monsoontray.decisions.enforcement import (
+    REFERENCE_WAIT_S,
+    Baseline,
+    Pending,
+    Readiness,
+    decide_readiness,
+    find_missing,
+    have_peers_answered,
+)
+from monsoontray.decisions.servers import ServerTable
+from monsoontray.forwarding.messages import EnforceEntitlements, UseServers
+from monsoontray.kernel.kernel import Kernel, Registration
+from monsoontray.kernel.task import Task
+from monsoontray.membership.messages import FetchFromPeer, VersionInForce
+from monsoontray.plans.encoding import decode_version
+from monsoontray.plans.errors import DamagedVersionError
+from monsoontray.plans.model import Version, VersionName
+
+NAME = "configuration"
+FETCH_RETRY_S = 4.0  # time after which a fetch without an answer is repeated
+
+
+class Configuration(Task):
+    """Own the version in force, its content and the one that waits."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(NAME, kernel, handle_message)
+        self._state = AdoptionState()
+        self._baseline = Baseline()
+        self._servers = ServerTable()
+        self._version: Version | None = None
+        self._content = b""
+        self._pending: Pending | None = None
+        self._pending_version: Version | None = None
+        self._pending_content = b""
+        self._fetching: dict[VersionName, float] = {}
+        self._waiting_routes: tuple[str, ...] = ()
+        self._refused = ""
+
+    def find_next_deadline(self) -> float | None:
+        """Return when the pending version need not wait any longer."""
+        if self._pending is None or not self._baseline.is_known():
+            return None
+        if self._is_below_baseline(self._pending):
+            return None
+        return self._pending.deadline
+
+    def wake(self) -> None:
+        """Enforce the pending version if it may be enforced now."""
+        self._enforce_if_ready()
+
+    def hear_of(self, message: VersionHeard) -> None:
+        """Fetch a newer version from the peer that has it."""
+        now = self.clock.now()
+        self._state, adoption = hear_of(self._state, message.name)
+        if adoption is Adoption.FORK:
+            self._refuse(f"version {message.name.number} has a second digest")
+            return
+        if adoption is Adoption.IGNORE or self._fetching.get(message.name, 0.0) > now:
+            return
+        self._fetching[message.name] = now + FETCH_RETRY_S
+        self.kernel.post("peers", FetchFromPeer(message.name, message.address))
+
+    def take_content(self, message: ContentFetched) -> None:
+        """Check a fetched version whole and let it wait for its references."""
+        name = message.name
+        self._fetching.pop(name, None)
+        if not may_enforce(self._state, name):
+            return
+        pending = self._pending
+        if pending is not None and name.number <= pending.entitlements.name.number:
+            return
+        try:
+            version = decode_version(message.content, name)
+        except DamagedVersionError as error:
+            self._refuse(str(error))
+            return
+        deadline = self.clock.now() + REFERENCE_WAIT_S
+        self._pending = Pending(Entitlements(name, version), deadline)
+        self._pending_version = version
+        self._pending_content = message.content
+        self._enforce_if_ready()
+
+    def forget_fetch(self, name: VersionName) -> None:
+        """Note that a fetch failed, so that it can be repeated."""
+        self._fetching.pop(name, None)
+
+    def set_baseline(self, name: VersionName) -> None:
+        """Take the head of the store as the least version to serve."""
+        self._baseline = replace(self._baseline, name=name)
+        self._enforce_if_ready()
+
+    def count_peers(self, message: PeersAnswered) -> None:
+        """Take answers of peers in place of a store that does not serve."""
+        if have_peers_answered(message.answered, message.known):
+            self._baseline = replace(self._baseline, peers_answered=True)
+            self._enforce_if_ready()
+
+    def use_servers(self, servers: ServerTable) -> None:
+        """Take a changed table of the fleet's servers."""
+        self._servers = servers
+        self._enforce_if_ready()
+        if self._waiting_routes:
+            self._tell_waiting()
+
+    def read_content(self, name: VersionName) -> bytes:
+        """Return the content of a version if it is in force here."""
+        return self._content if name == self._state.in_force else b""
+
+    def describe(self) -> VersionInUse:
+        """Return the version in force."""
+        return VersionInUse(
+            self._state.in_force, self._version, self._waiting_routes, self._refused
+        )
+
+    def _is_below_baseline(self, pending: Pending) -> bool:
+        name = self._baseline.name
+        return name is not None and pending.entitlements.name.number < name.number
+
+    def _enforce_if_ready(self) -> None:
+        pending = self._pending
+        if pending is None:
+            return
+        now = self.clock.now()
+        readiness = decide_readiness(pending, self._baseline, self._servers, now)
+        if readiness is not Readiness.READY:
+            logger.debug("version waits: {}", readiness.value)
+            return
+        entitlements = pending.entitlements
+        self._state = enforce(self._state, entitlements.name)
+        self._version = self._pending_version
+        self._content = self._pending_content
+        self._pending = None
+        self._pending_version = None
+        self._pending_content = b""
+        self._refused = ""
+        self.kernel.post("forwarding", EnforceEntitlements(entitlements))
+        self.kernel.find("metrics").set_version(entitlements.name.number)
+        logger.bind(version=entitlements.name.number).info("version in force")
+        self._waiting_routes = find_missing(entitlements, self._servers)
+        self._tell_in_force()
+
+    def _tell_waiting(self) -> None:
+        assert self._version is not None
+        entitlements = Entitlements(self._state.in_force, self._version)
+        missing = find_missing(entitlements, self._servers)
+        if missing != self._waiting_routes:
+            self._waiting_routes = missing
+            self._tell_in_force()
+
+    def _tell_in_force(self) -> None:
+        message = VersionInForce(self._state.in_force, self._waiting_routes)
+        self.kernel.post("membership", message)
+
+    def _refuse(self, why: str) -> None:
+        self._refused = why
+        self.kernel.find("metrics").count_version_refused()
+        logger.error("version refused: {}", why)
+
+
+@singledispatch
+def handle_message(message: Any, configuration: Configuration) -> None:
+    """Act on a message."""
+    raise TypeError(f"no such message: {message!r}")
+
+
+@handle_message.register(VersionHeard)
+def _(message: VersionHeard, configuration: Configuration) -> None:
+    configuration.hear_of(message)
+
+
+@handle_message.register(ContentFetched)
+def _(message: ContentFetched, configuration: Configuration) -> None:
+    configuration.take_content(message)
+
+
+@handle_message.register(ContentNotFetched)
+def _(message: ContentNotFetched, configuration: Configuration) -> None:
+    configuration.forget_fetch(message.name)
+
+
+@handle_message.register(BaselineFound)
+def _(message: BaselineFound, configuration: Configuration) -> None:
+    configuration.set_baseline(message.name)
+
+
+@handle_message.register(PeersAnswered)
+def _(message: PeersAnswered, configuration: Configuration) -> None:
+    configuration.count_peers(message)
+
+
+@handle_message.register(UseServers)
+def _(message: UseServers, configuration: Configuration) -> None:
+    configuration.use_servers(message.servers)
+
+
+@handle_message.register(ReadContent)
+def _(message: ReadContent, configuration: Configuration) -> None:
+    message.reply.put(configuration.read_content(message.name))
+
+
+@handle_message.register(ReadVersion)
+def _(message: ReadVersion, configuration: Configuration) -> None:
+    message.reply.put(configuration.describe())
+
+
+def setup(kernel: Kernel) -> None:
+    """Register the service."""
+    requires = ("settings", "metrics", "forwarding", "membership")
+    kernel.register(Registration(NAME, requires, Configuration))
--- /dev/null
+++ b/monsoontray/configuration/watcher.py
@@ -0,0 +1,284 @@
+"""The task that learns the head from the platform's service for its zone."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from loguru import logger
+
+from monsoontray.configuration.messages import BaselineFound, ContentFetched
+from monsoontray.configuration.records import (
+    DIRECTORY_KEY,
+    HEAD_KEY,
+    Directory,
+    build_version_key,
+    build_watch_key,
+    decode_directory,
+    decode_head,
+)
+from monsoontray.decisions.backoff import compute_retry_time
+from monsoontray.decisions.fleet import NodeState
+from monsoontray.kernel.errors import ReplyTimeoutError
+from monsoontray.kernel.kernel import DeathPolicy, Kernel, Registration
+from monsoontray.kernel.task import Task
+from monsoontray.membership.messages import (
+    DescribeFleet,
+    FleetState,
+    SeedsFound,
+    WatchingChanged,
+)
+from monsoontray.plans.model import NO_VERSION, VersionName
+from monsoontray.store.outcomes import (
+    ABSENT,
+    Conflict,
+    Done,
+    Lease,
+    NotDone,
+    Record,
+)
+
+if TYPE_CHECKING:
+    from monsoontray.settings.settings import Settings
+    from monsoontray.store.client import StoreClient
+
+NAME = "watcher"
+FIRST_RETRY_S = 0.2
+LONGEST_RETRY_S = 10.0
+DIRECTORY_INTERVAL_S = 2.0  # between comparisons of the zone's directory
+SEED_COUNT = 8
+ASK_TIMEOUT_S = 1.0
+RENEWALS_PER_LEASE = 3
+
+
+class Watcher(Task):
+    """Own a store client; hold the zone's lease to watch and follow the head."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(NAME, kernel, handle_message)
+        settings: Settings = kernel.find("settings").settings
+        self._node = settings.get_text("node")
+        region, zone = settings.get_text("region"), settings.get_text("zone")
+        self._zone_name = f"{region}/{zone}"
+        self._watch_key = build_watch_key(region, zone)
+        self._lifetime_s = settings.get_seconds("watch_lease_ms")
+        self._longest_wait_s = settings.get_seconds("watch_wait_ms")
+        self._random = Random(f"{self._node} {kernel.clock.wall()}")
+        self._client: StoreClient = kernel.find("store").open_client()
+        self._lease: Lease | None = None
+        self._watching = False
+        self._head_revision = -1
+        self._fetched = NO_VERSION
+        self._baseline_known = False
+        self._peers_known = False
+        self._failures = 0
+        self._next_step = kernel.clock.now()
+        self._next_directory = 0.0
+
+    def find_next_deadline(self) -> float | None:
+        """Return when the next step is due."""
+        return self._next_step
+
+    def wake(self) -> None:
+        """Make one step."""
+        if self._make_step():
+            self._failures = 0
+        else:
+            self._failures += 1
+            self._next_step = self._find_retry_time()
+
+    def close(self) -> None:
+        """Give the lease back, so that another node watches soon."""
+        if self._lease is not None:
+            self._client.end_lease(self._lease.lease)
+        self._client.close()
+
+    def _make_step(self) -> bool:
+        """Do what is due; say whether the store served."""
+        now = self.clock.now()
+        if not self._baseline_known and not self._find_baseline():
+            return False
+        fleet = self._read_fleet()
+        if not self._peers_known and not self._find_peers(fleet):
+            return False
+        if self._lease is None or self._lease.deadline <= now:
+            if not self._may_try_lease(fleet):
+                self._next_step = now + self._lifetime_s * (1 + self._random.random())
+                return True
+            if not self._take_lease():
+                return False
+        if self._lease is None:
+            return True
+        if now >= self._next_directory:
+            self._next_directory = now + DIRECTORY_INTERVAL_S
+            if not self._write_directory(fleet):
+                return False
+        return self._follow_head()
+
+    def _find_baseline(self) -> bool:
+        record = self._client.get(HEAD_KEY)
+        if isinstance(record, NotDone):
+            return False
+        head = self._read_head(record)
+        if head is None:
+            return False
+        self._baseline_known = True
+        self.kernel.post("configuration", BaselineFound(head))
+        return True
+
+    def _find_peers(self, fleet: FleetState) -> bool:
+        if len(fleet.records) > 1:
+            self._peers_known = True
+            return True
+        record = self._client.get(DIRECTORY_KEY)
+        if isinstance(record, NotDone):
+            return False
+        seeds = self._choose_seeds(self._read_directory(record))
+        if seeds:
+            self.kernel.post("membership", SeedsFound(seeds))
+        return True
+
+    def _choose_seeds(self, directory: Directory) -> tuple[str, ...]:
+        own = dict(directory.zones.get(self._zone_name, {}))
+        own.pop(self._node, None)
+        near = list(own.values())
+        self._random.shuffle(near)
+        seeds = near[: SEED_COUNT // 2]
+        others = [
+            address
+            for zone, nodes in directory.zones.items()
+            if zone != self._zone_name
+            for address in nodes.values()
+        ]
+        self._random.shuffle(others)
+        return tuple(seeds + others[: SEED_COUNT - len(seeds)])
+
+    def _may_try_lease(self, fleet: FleetState) -> bool:
+        """Say whether no other node of the zone is believed to watch."""
+        for record in fleet.records:
+            same_zone = f"{record.region}/{record.zone}" == self._zone_name
+            other = record.node != self._node
+            alive = record.state is NodeState.ALIVE
+            if same_zone and other and alive and record.watching:
+                return False
+        return True
+
+    def _take_lease(self) -> bool:
+        lease = self._client.grant_lease(self._lifetime_s)
+        if not isinstance(lease, Lease):
+            return False
+        holder = self._node.encode()
+        outcome = self._client.compare_and_swap(
+            self._watch_key, ABSENT, holder, lease.lease
+        )
+        if isinstance(outcome, Done):
+            self._lease = lease
+            self._set_watching(True)
+            self._head_revision = -1
+            return True
+        self._client.end_lease(lease.lease)
+        if isinstance(outcome, Conflict):
+            self._set_watching(False)
+            now = self.clock.now()
+            self._next_step = now + self._lifetime_s * (0.5 + self._random.random())
+            return True
+        return False
+
+    def _follow_head(self) -> bool:
+        """Renew the lease and wait for the head to move."""
+        assert self._lease is not None
+        renewed = self._client.renew_lease(self._lease.lease, self._lifetime_s)
+        if not isinstance(renewed, Lease):
+            self._lease = None
+            return False
+        self._lease = renewed
+        wait_s = min(self._longest_wait_s, self._lifetime_s / RENEWALS_PER_LEASE)
+        outcome = self._client.watch(HEAD_KEY, self._head_revision, wait_s)
+        self._next_step = self.clock.now()
+        if isinstance(outcome, NotDone):
+            return False
+        if isinstance(outcome, Record):
+            return self._take_head(outcome)
+        return True
+
+    def _take_head(self, record: Record) -> bool:
+        head = self._read_head(record)
+        if head is None:
+            return False
+        if head != self._fetched and head != NO_VERSION:
+            content = self._client.get(build_version_key(head))
+            if isinstance(content, NotDone):
+                return False
+            message = ContentFetched(head, content.value)
+            self.kernel.post("configuration", message)
+            self._fetched = head
+        self._head_revision = record.revision
+        return True
+
+    def _write_directory(self, fleet: FleetState) -> bool:
+        record = self._client.get(DIRECTORY_KEY)
+        if isinstance(record, NotDone):
+            return False
+        directory = self._read_directory(record)
+        alive = {
+            each.node: each.peer_address
+            for each in fleet.records
+            if f"{each.region}/{each.zone}" == self._zone_name
+            and each.state is not NodeState.DEAD
+        }
+        if directory.zones.get(self._zone_name) == alive:
+            return True
+        changed = Directory({**directory.zones, self._zone_name: alive})
+        value = msgspec.json.encode(changed)
+        # A conflict or a lost answer is repaired by the next comparison.
+        self._client.compare_and_swap(DIRECTORY_KEY, record.revision, value)
+        return True
+
+    def _read_head(self, record: Record) -> VersionName | None:
+        try:
+            return decode_head(record)
+        except msgspec.DecodeError as error:
+            logger.error("the head record is damaged: {}", error)
+            return None
+
+    def _read_directory(self, record: Record) -> Directory:
+        try:
+            return decode_directory(record)
+        except msgspec.DecodeError as error:
+            logger.error("the directory is damaged and is written anew: {}", error)
+            return Directory({})
+
+    def _read_fleet(self) -> FleetState:
+        deadline = self.clock.now() + ASK_TIMEOUT_S
+        try:
+            answer: FleetState = self.kernel.ask("membership", DescribeFleet, deadline)
+        except ReplyTimeoutError:
+            return FleetState(self._node, ())
+        return answer
+
+    def _set_watching(self, watching: bool) -> None:
+        if watching != self._watching:
+            self._watching = watching
+            self.kernel.post("membership", WatchingChanged(watching))
+            state = "begins" if watching else "ends"
+            logger.info("node {} to watch the store for its zone", state)
+
+    def _find_retry_time(self) -> float:
+        now = self.clock.now()
+        return compute_retry_time(
+            now, self._failures, FIRST_RETRY_S, LONGEST_RETRY_S, self._random
+        )
+
+
+@singledispatch
+def handle_message(message: Any, watcher: Watcher) -> None:
+    """Act on a message."""
+    raise TypeError(f"no such message: {message!r}")
+
+
+def setup(kernel: Kernel) -> None:
+    """Register the service."""
+    requires = ("settings", "store", "membership", "configuration")
+    kernel.register(Registration(NAME, requires, Watcher, DeathPolicy.RESTART))
--- /dev/null
+++ b/monsoontray/decisions/admission.py
@@ -0,0 +1,104 @@
+"""Decide whether a customer's plan allows a call."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+from monsoontray.decisions.outcomes import Reason, Refusal, refuse_unrun
+from monsoontray.plans.model import (
+    NO_VERSION,
+    Customer,
+    Plan,
+    Route,
+    Version,
+    VersionName,
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Admitted:
+    """Say what an allowed call is entitled to."""
+
+    customer: str
+    plan: str
+    priority: int
+    service: str
+    resource: str
+
+
+@dataclass(slots=True, frozen=True)
+class PlanRoutes:
+    """Hold a plan's routes, the longest prefix first."""
+
+    plan: Plan
+    routes: tuple[Route, ...]
+
+
+class Entitlements:
+    """Index one version for admission; immutable once built."""
+
+    __slots__ = ("_customers", "_plans", "name", "references")
+
+    def __init__(self, name: VersionName, version: Version | None) -> None:
+        self.name = name
+        self._customers: dict[str, Customer] = {}
+        self._plans: dict[str, PlanRoutes] = {}
+        #: Services and resources that the routes of this version point at.
+        self.references: frozenset[tuple[str, str]] = frozenset()
+        if version is not None:
+            self._index(version)
+
+    def _index(self, version: Version) -> None:
+        lists = version.lists
+        self._customers = {entry.token_sha256: entry for entry in lists.customers}
+        references = set()
+        for plan in lists.plans:
+            by_length = sorted(plan.routes, key=lambda r: len(r.prefix), reverse=True)
+            self._plans[plan.plan] = PlanRoutes(plan, tuple(by_length))
+            references |= {(route.service, route.resource) for route in plan.routes}
+        self.references = frozenset(references)
+
+    def find_customer(self, token: bytes) -> Customer | None:
+        """Return the customer whose token this is."""
+        return self._customers.get(hashlib.sha256(token).hexdigest())
+
+    def find_plan(self, plan: str) -> PlanRoutes:
+        """Return the routes of a plan."""
+        return self._plans[plan]
+
+
+#: In force at a node that has not learned a version yet.
+NO_ENTITLEMENTS = Entitlements(NO_VERSION, None)
+
+
+def admit_call(
+    entitlements: Entitlements, token: bytes, method: str, path: str
+) -> Admitted | Refusal:
+    """Decide whether the holder of a token may call a path."""
+    if entitlements.name == NO_VERSION:
+        return refuse_unrun(Reason.NO_VERSION)
+    if not token:
+        return refuse_unrun(Reason.NO_CREDENTIALS)
+    customer = entitlements.find_customer(token)
+    if customer is None:
+        return refuse_unrun(Reason.UNKNOWN_CUSTOMER)
+    plan_routes = entitlements.find_plan(customer.plan)
+    for route in plan_routes.routes:
+        if method in route.methods and _covers(route.prefix, path):
+            return Admitted(
+                customer.customer,
+                customer.plan,
+                plan_routes.plan.priority,
+                route.service,
+                route.resource,
+            )
+    return refuse_unrun(Reason.NOT_IN_PLAN)
+
+
+def _covers(prefix: str, path: str) -> bool:
+    if not path.startswith(prefix):
+        return False
+    if prefix.endswith("/") or len(path) == len(prefix):
+        return True
+    return path[len(prefix)] == "/"
--- /dev/null
+++ b/monsoontray/decisions/backoff.py
@@ -0,0 +1,16 @@
+"""Decide how long to wait before something is tried again."""
+
+from __future__ import annotations
+
+from random import Random
+
+MAX_DOUBLINGS = 16
+
+
+def compute_retry_time(
+    now: float, failures: int, first_s: float, longest_s: float, random: Random
+) -> float:
+    """Return when to try again: a random share of a doubling, capped delay."""
+    doublings = min(failures, MAX_DOUBLINGS)
+    longest = min(longest_s, first_s * 2**doublings)
+    return now + longest * (0.5 + 0.5 * random.random())
--- /dev/null
+++ b/monsoontray/decisions/enforcement.py
@@ -0,0 +1,70 @@
+"""Decide when a fetched version may come into force at a node."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from monsoontray.decisions.admission import Entitlements
+from monsoontray.decisions.servers import ServerTable
+from monsoontray.plans.model import VersionName
+
+REFERENCE_WAIT_S = 2.0  # time that a version waits for services it points at
+PEERS_FOR_BASELINE = 3  # nodes that must answer when the store does not
+
+
+@dataclass(slots=True, frozen=True)
+class Baseline:
+    """Hold what is known of the version below which a node must not serve."""
+
+    name: VersionName | None = None  # from the store
+    peers_answered: bool = False
+
+    def is_known(self) -> bool:
+        """Say whether serving may begin."""
+        return self.name is not None or self.peers_answered
+
+
+class Readiness(enum.Enum):
+    """Say whether a version may come into force now."""
+
+    READY = "ready"
+    BELOW_BASELINE = "below-baseline"
+    BASELINE_UNKNOWN = "baseline-unknown"
+    REFERENCES_MISSING = "references-missing"
+
+
+@dataclass(slots=True, frozen=True)
+class Pending:
+    """Hold a checked version that waits, and until when it waits at most."""
+
+    entitlements: Entitlements
+    deadline: float
+
+
+def have_peers_answered(answered: int, known: int) -> bool:
+    """Say whether enough peers answered to know the zone's version."""
+    return answered >= min(PEERS_FOR_BASELINE, max(1, known))
+
+
+def find_missing(entitlements: Entitlements, servers: ServerTable) -> tuple[str, ...]:
+    """Return the services and resources that routes point at but none offers."""
+    missing = []
+    for service, resource in sorted(entitlements.references):
+        if not servers.offers(service, resource):
+            missing.append(f"{service}/{resource}" if resource else service)
+    return tuple(missing)
+
+
+def decide_readiness(
+    pending: Pending, baseline: Baseline, servers: ServerTable, now: float
+) -> Readiness:
+    """Decide whether a pending version may come into force."""
+    if not baseline.is_known():
+        return Readiness.BASELINE_UNKNOWN
+    number = pending.entitlements.name.number
+    if baseline.name is not None and number < baseline.name.number:
+        return Readiness.BELOW_BASELINE
+    if now < pending.deadline and find_missing(pending.entitlements, servers):
+        return Readiness.REFERENCES_MISSING
+    return Readiness.READY
--- /dev/null
+++ b/monsoontray/decisions/outcomes.py
@@ -0,0 +1,55 @@
+"""Why a call is refused, and whether it ran."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+
+class Ran(enum.Enum):
+    """Say whether a back end may have run a call."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.Enum):
+    """Name why a call is refused."""
+
+    BAD_REQUEST = "bad-request"
+    HEAD_TOO_LARGE = "head-too-large"
+    HEAD_TIMEOUT = "head-timeout"
+    BODY_TIMEOUT = "body-timeout"
+    UNSUPPORTED = "unsupported"
+    NO_VERSION = "no-version"
+    NO_CREDENTIALS = "no-credentials"
+    UNKNOWN_CUSTOMER = "unknown-customer"
+    NOT_IN_PLAN = "not-in-plan"
+    NO_SERVER = "no-server"
+    NO_SLOT = "no-slot"
+    QUEUE_TIMEOUT = "queue-timeout"
+    SERVER_LEAVING = "server-leaving"
+    UNREACHABLE = "unreachable"
+    NODE_STOPPING = "node-stopping"
+    DEADLINE_PASSED = "deadline-passed"
+    CONNECTION_LOST = "connection-lost"
+    BAD_ANSWER = "bad-answer"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """Tell a caller that its call is not served."""
+
+    reason: Reason
+    ran: Ran
+
+
+def refuse_unrun(reason: Reason) -> Refusal:
+    """Return a refusal of a call that no back end saw."""
+    return Refusal(reason, Ran.NOT_RUN)
+
+
+def refuse_unknown(reason: Reason) -> Refusal:
+    """Return a refusal of a call that a back end may have run."""
+    return Refusal(reason, Ran.UNKNOWN)
--- /dev/null
+++ b/monsoontray/decisions/paths.py
@@ -0,0 +1,39 @@
+"""Reduce request targets to the path that routes are compared with."""
+
+from __future__ import annotations
+
+import re
+
+_ESCAPE = re.compile(rb"%([0-9A-Fa-f]{2})")
+_AMBIGUOUS = frozenset((b"/", b"\\", b"%", b"\0"))
+_TARGET_CHARACTERS = re.compile(rb"[\x21-\x7e]+")
+
+
+def reduce_target(target: bytes) -> str | None:
+    """Return the decoded path of a target, or None when it is ambiguous.
+
+    A back end might read dot segments, escaped slashes, empty segments or
+    backslashes otherwise than the plan's routes do.
+    """
+    if not target.startswith(b"/") or not _TARGET_CHARACTERS.fullmatch(target):
+        return None
+    path = target.partition(b"?")[0]
+    if b"#" in target or b"//" in path or b"\\" in path:
+        return None
+    if b"%" in path:
+        decoded = _decode_escapes(path)
+        if decoded is None:
+            return None
+        path = decoded
+    if b"/." in path and not {b".", b".."}.isdisjoint(path.split(b"/")):
+        return None
+    return path.decode("latin-1")
+
+
+def _decode_escapes(path: bytes) -> bytes | None:
+    if path.count(b"%") != len(_ESCAPE.findall(path)):
+        return None
+    for digits in _ESCAPE.findall(path):
+        if bytes((int(digits, 16),)) in _AMBIGUOUS:
+            return None
+    return _ESCAPE.sub(lambda match: bytes((int(match.group(1), 16),)), path)
--- /dev/null
+++ b/monsoontray/decisions/retries.py
@@ -0,0 +1,51 @@
+"""Decide whether a call that failed is sent again."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from monsoontray.decisions.outcomes import Reason, Refusal, refuse_unknown, refuse_unrun
+
+_IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "PUT", "DELETE", "OPTIONS"))
+MIN_RETRY_S = 0.002  # time that must be left for another attempt
+
+
+@dataclass(slots=True, frozen=True)
+class Attempt:
+    """Describe a failed attempt."""
+
+    method: str
+    number: int  # 1 for the first attempt
+    deadline: float
+    sent: bool  # a byte may have reached a back end
+    answer_started: bool  # the caller has part of the answer
+    body_kept: bool  # the whole body sent so far can be sent again
+
+
+@dataclass(slots=True, frozen=True)
+class Retry:
+    """Say that the call is offered to another server."""
+
+    reason: Reason
+
+
+@dataclass(slots=True, frozen=True)
+class Abandon:
+    """Say that the caller's connection must be cut: its answer is cut short."""
+
+    reason: Reason
+
+
+def decide_after_failure(
+    attempt: Attempt, reason: Reason, now: float, max_attempts: int
+) -> Retry | Refusal | Abandon:
+    """Decide what follows a failed attempt."""
+    if attempt.answer_started:
+        return Abandon(reason)
+    repeatable = not attempt.sent or attempt.method in _IDEMPOTENT_METHODS
+    time_left = attempt.deadline - now >= MIN_RETRY_S
+    if repeatable and attempt.body_kept and time_left and attempt.number < max_attempts:
+        return Retry(reason)
+    if attempt.sent:
+        return refuse_unknown(reason)
+    return refuse_unrun(reason)
--- /dev/null
+++ b/monsoontray/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Let nodes find each other and carry news of servers and versions."""
--- /dev/null
+++ b/monsoontray/membership/service.py
@@ -0,0 +1,295 @@
+"""The task that owns what this node knows of the fleet."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+
+from monsoontray.configuration.messages import PeersAnswered, VersionHeard
+from monsoontray.decisions.fleet import Fleet, NodeRecord
+from monsoontray.decisions.servers import Place, ServerState
+from monsoontray.forwarding.messages import GuardServers, LocalServer, UseServers
+from monsoontray.kernel.kernel import DeathPolicy, Kernel, Registration
+from monsoontray.kernel.task import Task
+from monsoontray.membership.encoding import Exchange
+from monsoontray.membership.messages import (
+    AnnounceServer,
+    DescribeFleet,
+    ExchangeAnswered,
+    ExchangeFailed,
+    ExchangeReceived,
+    FleetState,
+    SeedsFound,
+    SendExchange,
+    ServerLeaves,
+    VersionInForce,
+    WatchingChanged,
+)
+
+if TYPE_CHECKING:
+    from monsoontray.settings.settings import Settings
+
+NAME = "membership"
+PUSH_DELAY_S = 0.02  # time in which several pieces of news are gathered
+PUSH_FANOUT = 3  # peers that news is pushed to at once
+LEAVING_KEPT_S = 30.0  # time that a leaving server stays on record
+_MS_PER_S = 1000
+
+
+class Membership(Task):
+    """Own the fleet's records and the announcements on this VM."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(NAME, kernel, handle_message)
+        settings: Settings = kernel.find("settings").settings
+        self.place = Place(
+            settings.get_text("node"),
+            settings.get_text("region"),
+            settings.get_text("zone"),
+        )
+        incarnation = int(self.clock.wall() * _MS_PER_S)
+        own = NodeRecord(
+            node=self.place.node,
+            region=self.place.region,
+            zone=self.place.zone,
+            guard_address=settings.get_text("guard_address"),
+            peer_address=settings.get_text("peer_address"),
+            incarnation=incarnation,
+            sequence=1,
+        )
+        self.fleet = Fleet(own)
+        self.random = Random(f"{self.place.node} {incarnation}")
+        self._interval_s = settings.get_seconds("exchange_interval_ms")
+        self._lifetime_s = settings.get_seconds("announcement_lifetime_ms")
+        self._local: dict[str, LocalServer] = {}
+        self._local_deadlines: dict[str, float] = {}
+        self._seeds: list[str] = list(settings.get_texts("seeds"))
+        self._next_exchange = self.clock.now() + self.random.random() * 0.1
+        self._next_push: float | None = None
+        self._answered: set[str] = set()
+
+    def find_next_deadline(self) -> float | None:
+        """Return when the next exchange, push or expiry is due."""
+        deadlines = [self._next_exchange, *self._local_deadlines.values()]
+        if self._next_push is not None:
+            deadlines.append(self._next_push)
+        expiry = self.fleet.find_next_deadline()
+        if expiry is not None:
+            deadlines.append(expiry)
+        return min(deadlines)
+
+    def wake(self) -> None:
+        """Exchange, push and expire what is due."""
+        now = self.clock.now()
+        if self.fleet.expire(now):
+            self.publish_servers()
+        self._expire_announcements(now)
+        if now >= self._next_exchange:
+            jitter = 0.9 + 0.2 * self.random.random()
+            self._next_exchange = now + self._interval_s * jitter
+            self._exchange(1)
+        if self._next_push is not None and now >= self._next_push:
+            self._next_push = None
+            if self.fleet.has_news():
+                self._exchange(PUSH_FANOUT)
+
+    def push_soon(self) -> None:
+        """Tell peers of news shortly."""
+        if self._next_push is None:
+            self._next_push = self.clock.now() + PUSH_DELAY_S
+
+    def publish_servers(self) -> None:
+        """Give the changed table of servers to those who use it."""
+        message = UseServers(self.fleet.build_servers())
+        self.kernel.post("forwarding", message)
+        self.kernel.post("configuration", message)
+
+    def announce(self, message: AnnounceServer) -> None:
+        """Take an announcement."""
+        name = message.record.server
+        local = LocalServer(message.record, message.address)
+        known = self._local.get(name)
+        leaving = known is not None and known.record.state is ServerState.LEAVING
+        if leaving and message.record.state is ServerState.SERVING:
+            return  # a repeat that crossed the server's leaving
+        self._local_deadlines[name] = self.clock.now() + self._lifetime_s
+        if known == local:
+            return
+        self._local[name] = local
+        self._publish_local()
+
+    def begin_leaving(self, server: str) -> None:
+        """Mark a server on this VM as leaving."""
+        known = self._local.get(server)
+        if known is None or known.record.state is ServerState.LEAVING:
+            return
+        record = replace(known.record, state=ServerState.LEAVING)
+        self._local[server] = LocalServer(record, known.address)
+        self._local_deadlines[server] = self.clock.now() + LEAVING_KEPT_S
+        self._publish_local()
+
+    def add_seeds(self, addresses: tuple[str, ...]) -> None:
+        """Exchange with nodes that are not known yet."""
+        own = self.fleet.own.peer_address
+        self._seeds = [address for address in addresses if address != own]
+        self._next_exchange = self.clock.now()
+
+    def answer(self, exchange: Exchange) -> Exchange:
+        """Merge what a peer says and return what it lacks."""
+        self.take_exchange(exchange)
+        if exchange.repair:
+            records = self.fleet.select_records(exchange.wanted)
+            return self._build_exchange(tuple(records))
+        if exchange.digest == self.fleet.get_digest():
+            return self._build_exchange(())
+        answer = self._build_exchange(())
+        return replace(answer, stamps=tuple(self.fleet.get_stamps()))
+
+    def take_answer(self, message: ExchangeAnswered) -> None:
+        """Merge a peer's answer and repair the differences that it shows."""
+        exchange = message.exchange
+        self.fleet.note_success(exchange.sender)
+        self._note_answer(exchange.sender)
+        self.take_exchange(exchange)
+        if not exchange.stamps:
+            return
+        differences = self.fleet.compare(exchange.stamps)
+        if not differences.ours and not differences.wanted:
+            return
+        repair = self._build_exchange(differences.ours)
+        repair = replace(repair, wanted=differences.wanted, repair=True)
+        self._send(message.node, message.address, repair)
+
+    def take_exchange(self, exchange: Exchange) -> None:
+        """Merge what a peer says."""
+        if self.fleet.merge(exchange.records, self.clock.now()):
+            self.publish_servers()
+            self.push_soon()
+        if exchange.version.number > self.fleet.own.version.number:
+            address = self._find_address(exchange.sender)
+            if address:
+                self.kernel.post(
+                    "configuration", VersionHeard(exchange.version, address)
+                )
+
+    def change_own(self, record: NodeRecord) -> None:
+        """Change what this node says of itself."""
+        self.fleet.update_own(record)
+        self.push_soon()
+
+    def note_failure(self, node: str) -> None:
+        """Note that a peer did not answer."""
+        if node and self.fleet.note_failure(node, self.clock.now()):
+            logger.warning("node {} does not answer and is suspected", node)
+            self.push_soon()
+
+    def _note_answer(self, sender: str) -> None:
+        if sender in self._answered:
+            return
+        self._answered.add(sender)
+        known = len(self.fleet.get_records()) - 1
+        self.kernel.post("configuration", PeersAnswered(len(self._answered), known))
+
+    def _exchange(self, count: int) -> None:
+        peers = self.fleet.choose_peers(count, self.random)
+        news = tuple(self.fleet.take_news()) if peers else ()
+        for peer in peers:
+            self._send(peer.node, peer.peer_address, self._build_exchange(news))
+        if not peers:
+            news = (self.fleet.own,)
+            for address in self._seeds:
+                self._send("", address, self._build_exchange(news))
+
+    def _send(self, node: str, address: str, exchange: Exchange) -> None:
+        self.kernel.post("peers", SendExchange(node, address, exchange))
+
+    def _build_exchange(self, records: tuple[NodeRecord, ...]) -> Exchange:
+        own = self.fleet.own
+        return Exchange(own.node, own.version, self.fleet.get_digest(), records)
+
+    def _find_address(self, node: str) -> str:
+        for record in self.fleet.select_records((node,)):
+            return record.peer_address
+        return ""
+
+    def _expire_announcements(self, now: float) -> None:
+        due = [name for name, time in self._local_deadlines.items() if time <= now]
+        for name in due:
+            del self._local_deadlines[name]
+            local = self._local.pop(name)
+            if local.record.state is ServerState.SERVING:
+                logger.warning("server {} stopped announcing itself", name)
+        if due:
+            self._publish_local()
+
+    def _publish_local(self) -> None:
+        local = tuple(self._local.values())
+        self.kernel.post("forwarding", GuardServers(local))
+        servers = tuple(each.record for each in local)
+        self.change_own(replace(self.fleet.own, servers=servers))
+        self.publish_servers()
+
+
+@singledispatch
+def handle_message(message: Any, membership: Membership) -> None:
+    """Act on a message."""
+    raise TypeError(f"no such message: {message!r}")
+
+
+@handle_message.register(AnnounceServer)
+def _(message: AnnounceServer, membership: Membership) -> None:
+    membership.announce(message)
+
+
+@handle_message.register(ServerLeaves)
+def _(message: ServerLeaves, membership: Membership) -> None:
+    membership.begin_leaving(message.server)
+
+
+@handle_message.register(ExchangeReceived)
+def _(message: ExchangeReceived, membership: Membership) -> None:
+    message.reply.put(membership.answer(message.exchange))
+
+
+@handle_message.register(ExchangeAnswered)
+def _(message: ExchangeAnswered, membership: Membership) -> None:
+    membership.take_answer(message)
+
+
+@handle_message.register(ExchangeFailed)
+def _(message: ExchangeFailed, membership: Membership) -> None:
+    membership.note_failure(message.node)
+
+
+@handle_message.register(SeedsFound)
+def _(message: SeedsFound, membership: Membership) -> None:
+    membership.add_seeds(message.addresses)
+
+
+@handle_message.register(VersionInForce)
+def _(message: VersionInForce, membership: Membership) -> None:
+    own = membership.fleet.own
+    record = replace(own, version=message.name, waiting_routes=message.waiting_routes)
+    membership.change_own(record)
+
+
+@handle_message.register(WatchingChanged)
+def _(message: WatchingChanged, membership: Membership) -> None:
+    own = membership.fleet.own
+    membership.change_own(replace(own, watching=message.watching))
+
+
+@handle_message.register(DescribeFleet)
+def _(message: DescribeFleet, membership: Membership) -> None:
+    records = tuple(membership.fleet.get_records())
+    message.reply.put(FleetState(membership.place.node, records))
+
+
+def setup(kernel: Kernel) -> None:
+    """Register the service."""
+    registration = Registration(NAME, ("settings",), Membership, DeathPolicy.RESTART)
+    kernel.register(registration)
--- /dev/null
+++ b/monsoontray/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Count what the node does."""
--- /dev/null
+++ b/monsoontray/metrics/service.py
@@ -0,0 +1,102 @@
+"""The node's Prometheus metrics."""
+
+from __future__ import annotations
+
+from functools import lru_cache
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+
+from monsoontray.decisions.outcomes import Ran, Reason
+from monsoontray.kernel.kernel import Kernel, Registration
+
+NAME = "metrics"
+
+
+class Metrics:
+    """Hold the counters; each has one writing task."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.registry = CollectorRegistry()
+        self._refusals = Counter(
+            "monsoontray_refusals",
+            "Calls refused, by reason and whether they may have run",
+            ("reason", "ran"),
+            registry=self.registry,
+        )
+        self._retries = Counter(
+            "monsoontray_retries",
+            "Calls sent to another server, by reason",
+            ("reason",),
+            registry=self.registry,
+        )
+        self._cuts = Counter(
+            "monsoontray_cut_answers",
+            "Answers that ended incomplete, by reason",
+            ("reason",),
+            registry=self.registry,
+        )
+        self._answers = Counter(
+            "monsoontray_answers", "Whole answers", registry=self.registry
+        )
+        self._cancelled = Counter(
+            "monsoontray_cancelled_calls",
+            "Calls whose caller had gone",
+            registry=self.registry,
+        )
+        self._versions_refused = Counter(
+            "monsoontray_versions_refused",
+            "Versions that were heard of but not taken",
+            registry=self.registry,
+        )
+        self._version = Gauge(
+            "monsoontray_version", "Version in force", registry=self.registry
+        )
+        self._find_refusals = lru_cache(len(Reason) * len(Ran))(self._refusals.labels)
+        self._find_retries = lru_cache(len(Reason))(self._retries.labels)
+
+    def start(self) -> None:
+        """Do nothing; the counters exist."""
+
+    def stop(self, deadline: float) -> None:
+        """Do nothing."""
+
+    def post(self, message: object) -> None:
+        """Reject messages; the service takes none."""
+        raise TypeError(f"the metrics service takes no messages: {message!r}")
+
+    def count_refusal(self, reason: str, ran: str) -> None:
+        """Count a refused call."""
+        self._find_refusals(reason, ran).inc()
+
+    def count_retry(self, reason: str) -> None:
+        """Count a call sent again."""
+        self._find_retries(reason).inc()
+
+    def count_cut(self, reason: str) -> None:
+        """Count an answer cut short."""
+        self._cuts.labels(reason).inc()
+
+    def count_answer(self) -> None:
+        """Count a whole answer."""
+        self._answers.inc()
+
+    def count_cancelled(self) -> None:
+        """Count a call whose caller had gone."""
+        self._cancelled.inc()
+
+    def count_version_refused(self) -> None:
+        """Count a version that was not taken."""
+        self._versions_refused.inc()
+
+    def set_version(self, number: int) -> None:
+        """Show the version in force."""
+        self._version.set(number)
+
+    def render(self) -> bytes:
+        """Return the metrics in the text format."""
+        return generate_latest(self.registry)
+
+
+def setup(kernel: Kernel) -> None:
+    """Register the service."""
+    kernel.register(Registration(NAME, (), Metrics))
--- /dev/null
+++ b/monsoontray/plans/__init__.py
@@ -0,0 +1,1 @@
+"""Customers' plans, what each plan may use, and their versions."""
--- /dev/null
+++ b/monsoontray/plans/encoding.py
@@ -0,0 +1,51 @@
+"""How lists and versions are written as bytes."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+from monsoontray.plans.errors import DamagedVersionError, InvalidListsError
+from monsoontray.plans.model import Lists, Version, VersionName
+from monsoontray.plans.validation import find_faults
+
+
+def encode_version(version: Version) -> bytes:
+    """Return the bytes of a version."""
+    return msgspec.json.encode(version)
+
+
+def compute_digest(content: bytes) -> str:
+    """Return the digest that names the content of a version."""
+    return hashlib.sha256(content).hexdigest()
+
+
+def decode_version(content: bytes, name: VersionName) -> Version:
+    """Return a version, checked whole; raise DamagedVersionError."""
+    if compute_digest(content) != name.digest:
+        raise DamagedVersionError(f"version {name.number} does not match its digest")
+    try:
+        version = msgspec.json.decode(content, type=Version)
+    except msgspec.DecodeError as error:
+        raise DamagedVersionError(f"version {name.number}: {error}") from error
+    if version.number != name.number:
+        raise DamagedVersionError(
+            f"version {name.number} calls itself {version.number}"
+        )
+    faults = find_faults(version.lists)
+    if faults:
+        raise DamagedVersionError(f"version {name.number}: {faults[0]}")
+    return version
+
+
+def decode_lists(content: bytes) -> Lists:
+    """Return the lists that an operator wrote; raise InvalidListsError."""
+    try:
+        lists = msgspec.json.decode(content, type=Lists)
+    except msgspec.DecodeError as error:
+        raise InvalidListsError([str(error)]) from error
+    faults = find_faults(lists)
+    if faults:
+        raise InvalidListsError(faults)
+    return lists
--- /dev/null
+++ b/monsoontray/store/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the platform's key-value service."""
--- /dev/null
+++ b/monsoontray/store/client.py
@@ -0,0 +1,39 @@
+"""The narrow interface to the platform's key-value service."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from monsoontray.store.outcomes import (
+    LeaseOutcome,
+    ReadOutcome,
+    WatchOutcome,
+    WriteOutcome,
+)
+
+
+class StoreClient(Protocol):
+    """Call the key-value service; one task owns each client."""
+
+    def get(self, key: str) -> ReadOutcome:
+        """Return the record of a key; its revision is ABSENT when none exists."""
+
+    def compare_and_swap(
+        self, key: str, revision: int, value: bytes, lease: str = ""
+    ) -> WriteOutcome:
+        """Write a key that is still at a revision, bound to a lease if one is named."""
+
+    def grant_lease(self, lifetime_s: float) -> LeaseOutcome:
+        """Obtain a lease; keys bound to it vanish when it lapses."""
+
+    def renew_lease(self, lease: str, lifetime_s: float) -> LeaseOutcome:
+        """Extend a lease."""
+
+    def end_lease(self, lease: str) -> WriteOutcome:
+        """Give a lease back."""
+
+    def watch(self, key: str, revision: int, wait_s: float) -> WatchOutcome:
+        """Wait until a key is at another revision than the one given."""
+
+    def close(self) -> None:
+        """Release the client's connections."""
--- /dev/null
+++ b/monsoontray/store/service.py
@@ -0,0 +1,43 @@
+"""Offer clients of the platform's key-value service to tasks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from monsoontray.kernel.kernel import Kernel, Registration
+from monsoontray.store.http import HttpStoreClient
+
+if TYPE_CHECKING:
+    from monsoontray.settings.settings import Settings
+    from monsoontray.store.client import StoreClient
+
+NAME = "store"
+
+
+class StoreService:
+    """Open store clients; each client belongs to the task that opened it."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._settings: Settings = kernel.find("settings").settings
+
+    def open_client(self) -> StoreClient:
+        """Return a new client for the calling task."""
+        endpoints = self._settings.get_texts("store_endpoints")
+        timeout_s = self._settings.get_seconds("store_timeout_ms")
+        return HttpStoreClient(endpoints, timeout_s, self._kernel.clock)
+
+    def start(self) -> None:
+        """Do nothing; clients connect when first used."""
+
+    def stop(self, deadline: float) -> None:
+        """Do nothing; tasks close their own clients."""
+
+    def post(self, message: object) -> None:
+        """Reject messages; the service takes none."""
+        raise TypeError(f"the store service takes no messages: {message!r}")
+
+
+def setup(kernel: Kernel) -> None:
+    """Register the service."""
+    kernel.register(Registration(NAME, ("settings",), StoreService))
