--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, experiments and load for measuring monsoontray."""
--- /dev/null
+++ b/bench/caller.py
@@ -0,0 +1,89 @@
+"""A partner router's connection: sends calls and reads whole answers."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+
+TIMEOUT_S = 20.0
+
+
+class CutAnswerError(Exception):
+    """Report an answer that ended early."""
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """Hold a whole answer."""
+
+    status: int
+    head: bytes
+    body: bytes
+
+    def find(self, name: bytes) -> bytes:
+        """Return the value of a header (name in lower case), or nothing."""
+        for line in self.head.split(b"\r\n"):
+            each, separator, value = line.partition(b":")
+            if separator and each.lower() == name:
+                return value.strip()
+        return b""
+
+
+class Router:
+    """Own one keep-alive connection to an address."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._sock = socket.create_connection((host, int(port)), TIMEOUT_S)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def call(self, request: bytes) -> Answer:
+        """Send a request and return the whole answer."""
+        self._sock.sendall(request)
+        return self.read_answer()
+
+    def read_answer(self) -> Answer:
+        """Return the next answer; it must state its length."""
+        data = self._sock.recv(65_536)
+        while b"\r\n\r\n" not in data:
+            data += self._receive()
+        head, _, body = data.partition(b"\r\n\r\n")
+        status = int(head[9:12])
+        length = _read_length(head)
+        parts = [body]
+        missing = length - len(body)
+        while missing > 0:
+            part = self._receive()
+            parts.append(part)
+            missing -= len(part)
+        return Answer(status, head, b"".join(parts))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
+
+    def _receive(self) -> bytes:
+        part = self._sock.recv(262_144)
+        if not part:
+            raise CutAnswerError("the connection ended within an answer")
+        return part
+
+
+def build_request(
+    path: str, token: str = "", method: str = "GET", body: bytes = b"", **headers: str
+) -> bytes:
+    """Return the bytes of a request; underscores in header names become hyphens."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: monsoontray"]
+    if token:
+        lines.append(f"Authorization: Bearer {token}")
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join((*lines, "", "")).encode() + body
+
+
+def _read_length(head: bytes) -> int:
+    for line in head.split(b"\r\n"):
+        if line[:15].lower() == b"content-length:":
+            return int(line[15:])
+    return 0
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,233 @@
+"""Start and end real processes: the store, nodes and backend servers."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+START_TIMEOUT_S = 20.0
+POLL_S = 0.02
+REGION = "norte"
+
+
+class FleetError(Exception):
+    """Report a process that did not do what the experiment needs."""
+
+
+@dataclass(slots=True)
+class NodeHandle:
+    """Name a node's process and addresses."""
+
+    name: str
+    zone: str
+    entry: str
+    guard: str
+    peer: str
+    operator: str
+    settings_file: Path
+    process: subprocess.Popen[bytes] | None = None
+
+
+@dataclass(slots=True)
+class BackendHandle:
+    """Name a backend server's process and address."""
+
+    name: str
+    service: str
+    address: str
+    process: subprocess.Popen[bytes]
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Own the processes of one experiment; ends them all on exit."""
+
+    directory: Path = field(default_factory=lambda: Path(tempfile.mkdtemp()))
+    nodes: list[NodeHandle] = field(default_factory=list)
+    backends: list[BackendHandle] = field(default_factory=list)
+    store_address: str = ""
+    store_process: subprocess.Popen[bytes] | None = None
+    http: urllib3.PoolManager = field(
+        default_factory=lambda: urllib3.PoolManager(retries=False, maxsize=8)
+    )
+    _reserved: list[socket.socket] = field(default_factory=list)
+    _processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.end()
+
+    def reserve_port(self) -> int:
+        """Return a port from the kernel that nobody else gets meanwhile."""
+        reservation = socket.socket()
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reservation.bind(("127.0.0.1", 0))
+        self._reserved.append(reservation)
+        port: int = reservation.getsockname()[1]
+        return port
+
+    def reserve_address(self) -> str:
+        """Return a loopback address from the kernel."""
+        return f"127.0.0.1:{self.reserve_port()}"
+
+    def start_process(self, name: str, *words: str) -> subprocess.Popen[bytes]:
+        """Start a Python program of this repository; its log is kept."""
+        with (self.directory / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, *words],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+        self._processes.append(process)
+        return process
+
+    def start_store(self) -> str:
+        """Start the store stand-in and return its address."""
+        port = self.reserve_port()
+        self.store_process = self.start_process(
+            "store", "-m", "bench.standins.store", f"--port={port}"
+        )
+        self.store_address = f"127.0.0.1:{port}"
+        self.wait_for(lambda: self.get_json(self.store_address, "/observed"), "store")
+        return self.store_address
+
+    def add_node(self, name: str, zone: str, **settings: Any) -> NodeHandle:
+        """Describe a node; ``start_node`` starts it."""
+        entry, guard, peer, operator = (self.reserve_address() for _ in range(4))
+        path = self.directory / f"{name}.json"
+        document = {
+            "node": name,
+            "region": REGION,
+            "zone": zone,
+            "entry_address": entry,
+            "guard_address": guard,
+            "peer_address": peer,
+            "operator_address": operator,
+            "store_endpoints": [f"http://{self.store_address}"],
+            **settings,
+        }
+        path.write_text(json.dumps(document))
+        peer = document["peer_address"]
+        guard = document["guard_address"]
+        node = NodeHandle(name, zone, entry, guard, peer, operator, path)
+        self.nodes.append(node)
+        return node
+
+    def start_node(self, node: NodeHandle) -> None:
+        """Start a node's process."""
+        settings = str(node.settings_file)
+        node.process = self.start_process(
+            node.name, "-m", "monsoontray", "node", "run", settings
+        )
+
+    def wait_for_node(self, node: NodeHandle) -> None:
+        """Wait until a node answers operators."""
+        self.wait_for(lambda: self.get_json(node.operator, "/status"), node.name)
+
+    def start_backend(
+        self, name: str, service: str, node: NodeHandle, *flags: str
+    ) -> BackendHandle:
+        """Start a backend server that announces itself to a node."""
+        port = self.reserve_port()
+        process = self.start_process(
+            name, "-m", "bench.standins.backend", f"--name={name}",
+            f"--service={service}", f"--port={port}", f"--node={node.operator}", *flags,
+        )  # fmt: skip
+        backend = BackendHandle(name, service, f"127.0.0.1:{port}", process)
+        self.backends.append(backend)
+        self.wait_for(lambda: self.get_json(backend.address, "/_observed"), name)
+        return backend
+
+    def get_json(self, address: str, path: str) -> Any:
+        """Return the JSON that an address serves, or None if it does not."""
+        try:
+            answer = self.http.request("GET", f"http://{address}{path}", timeout=3.0)
+        except urllib3.exceptions.HTTPError:
+            return None
+        return answer.json() if answer.status == 200 else None
+
+    def post_json(self, address: str, path: str, body: object) -> Any:
+        """Send JSON to an address and return the JSON that it answers."""
+        content = json.dumps(body).encode()
+        url = f"http://{address}{path}"
+        return self.http.request("POST", url, body=content, timeout=35.0).json()
+
+    def wait_for(
+        self, probe: Callable[[], Any], what: str, timeout_s: float = START_TIMEOUT_S
+    ) -> Any:
+        """Wait until a probe yields something."""
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            found = probe()
+            if found:
+                return found
+            time.sleep(POLL_S)
+        raise FleetError(
+            f"{what} was not seen within {timeout_s} s; see {self.directory}"
+        )
+
+    def wait_for_version(self, number: int, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until every node says that a version is in force."""
+        for node in self.nodes:
+            self.wait_for(
+                partial(self._has_version, node, number),
+                f"version {number} at {node.name}",
+                timeout_s,
+            )
+
+    def wait_for_servers(self, service: str, count: int) -> None:
+        """Wait until every node knows so many servers of a service."""
+        for node in self.nodes:
+            self.wait_for(
+                partial(self._knows_servers, node, service, count),
+                f"{count} servers of {service} at {node.name}",
+            )
+
+    def kill_node(self, node: NodeHandle) -> None:
+        """Kill a node's process at once."""
+        assert node.process is not None
+        node.process.kill()
+        node.process.wait()
+
+    def end(self) -> None:
+        """End every process that this fleet started."""
+        for process in self._processes:
+            if process.poll() is None:
+                os.kill(process.pid, signal.SIGCONT)
+                process.kill()
+        for process in self._processes:
+            process.wait()
+        for reservation in self._reserved:
+            reservation.close()
+
+    def _has_version(self, node: NodeHandle, number: int) -> bool:
+        status = self.get_json(node.operator, "/status")
+        return status is not None and status["version"] >= number
+
+    def _knows_servers(self, node: NodeHandle, service: str, count: int) -> bool:
+        status = self.get_json(node.operator, "/status")
+        if status is None:
+            return False
+        found = sum(
+            server["service"] == service and server["state"] == "serving"
+            for each in status["nodes"]
+            for server in each["servers"]
+        )
+        return bool(found >= count)
--- /dev/null
+++ b/bench/lists.py
@@ -0,0 +1,35 @@
+"""Build the two lists that experiments propose."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+
+def build_customer(customer: str, plan: str, token: str) -> dict[str, str]:
+    """Return a customer whose callers present a token."""
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    return {"customer": customer, "plan": plan, "token_sha256": digest}
+
+
+def build_route(prefix: str, service: str, resource: str = "") -> dict[str, str]:
+    """Return a route."""
+    return {"prefix": prefix, "service": service, "resource": resource}
+
+
+def build_plan(
+    plan: str, routes: list[dict[str, str]], priority: int = 0
+) -> dict[str, Any]:
+    """Return a plan."""
+    return {"plan": plan, "routes": routes, "priority": priority}
+
+
+def build_lists(
+    customers: list[dict[str, str]], plans: list[dict[str, Any]], services: list[str]
+) -> dict[str, Any]:
+    """Return the lists."""
+    return {
+        "customers": customers,
+        "plans": plans,
+        "services": [{"service": service} for service in services],
+    }
--- /dev/null
+++ b/bench/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small programs that take the place of the systems outside."""
--- /dev/null
+++ b/bench/standins/backend.py
@@ -0,0 +1,251 @@
+"""Stand-in of a backend server.
+
+Announces itself to its node, bears so many calls at once, starts cold, sheds
+load, accepts cancellation and deadlines, drains, and misbehaves on request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+import fire
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+
+ANNOUNCE_INTERVAL_S = 1.5
+CALL_ID_HEADER = "Monsoontray-Call-Id"
+TIMEOUT_HEADER = "Monsoontray-Timeout-Ms"
+POISON = b"poison"
+MS_PER_S = 1000
+
+
+class Behaviour(msgspec.Struct):
+    """How the server behaves now; changed through ``/_control``."""
+
+    service_ms: float = 0.0
+    slow_factor: float = 1.0
+    error_share: float = 0.0
+    bad_after_s: float = 0.0  # slow and failing only after this time
+    bad_above_calls: int = 0  # slow and failing only above this many calls at once
+    bad_prefix: str = ""  # slow and failing only below this path
+    warmup_s: float = 0.0  # time from cold to full capacity
+    cold_share: float = 0.25  # share of the slots that a cold server bears
+    healthy: bool = True  # what the health endpoint claims
+
+
+@dataclass(slots=True)
+class Observed:
+    """What an outside observer wants to know."""
+
+    calls: int = 0
+    cancelled: int = 0
+    over_capacity: int = 0
+    most_at_once: int = 0
+    shed: int = 0
+    errors: int = 0
+    runs: Counter[str] = field(default_factory=Counter)
+    paths: Counter[str] = field(default_factory=Counter)
+
+
+class Backend:
+    """Serve calls within slots."""
+
+    def __init__(
+        self, name: str, service: str, version: str, address: str, node: str,
+        slots: int, connections: int, resources: tuple[str, ...], behaviour: Behaviour,
+    ) -> None:  # fmt: skip
+        self.node = node
+        self.announcement = {
+            "server": name,
+            "service": service,
+            "version": version,
+            "address": address,
+            "slots": slots,
+            "connections": connections,
+            "resources": list(resources),
+        }
+        self.slots = slots
+        self.behaviour = behaviour
+        self.observed = Observed()
+        self.random = Random(name)
+        self.running = 0
+        self.leaving = False
+        self.warm_since = time.monotonic()
+        self.started = time.monotonic()
+        self.announcer: asyncio.Task[None] | None = None
+
+    def build_application(self) -> web.Application:
+        """Return the application."""
+        application = web.Application(client_max_size=1 << 40)
+        application.add_routes(
+            [
+                web.get("/_health", self.report_health),
+                web.get("/_observed", self.observe),
+                web.post("/_control", self.control),
+                web.route("*", "/{path:.*}", self.serve),
+            ]
+        )
+        application.on_startup.append(self.start_announcing)
+        return application
+
+    async def start_announcing(self, application: web.Application) -> None:
+        """Announce in the background."""
+        self.announcer = asyncio.create_task(self.announce())
+
+    async def announce(self) -> None:
+        """Announce again and again until the server leaves."""
+        async with ClientSession(timeout=ClientTimeout(2.0)) as session:
+            while not self.leaving:
+                try:
+                    url = f"http://{self.node}/announce"
+                    async with session.post(url, json=self.announcement) as answer:
+                        known = answer.status == 200
+                except (ClientError, TimeoutError, OSError):
+                    known = False
+                await asyncio.sleep(ANNOUNCE_INTERVAL_S if known else 0.1)
+            url = f"http://{self.node}/leave"
+            await session.post(url, json={"server": self.announcement["server"]})
+
+    async def report_health(self, request: web.Request) -> web.StreamResponse:
+        """Claim to be healthy or not."""
+        return web.Response(status=200 if self.behaviour.healthy else 503)
+
+    async def observe(self, request: web.Request) -> web.StreamResponse:
+        """Return what happened here."""
+        body = msgspec.json.encode(self.observed)
+        return web.Response(body=body, content_type="application/json")
+
+    async def control(self, request: web.Request) -> web.StreamResponse:
+        """Change the behaviour; ``turn_cold``, ``crash`` and ``leave`` act at once."""
+        body = await request.json()
+        if body.pop("crash", False):
+            os._exit(1)
+        if body.pop("turn_cold", False):
+            self.warm_since = time.monotonic()
+        if body.pop("leave", False):
+            self.leaving = True
+        known = msgspec.to_builtins(self.behaviour)
+        self.behaviour = msgspec.convert({**known, **body}, Behaviour)
+        return web.json_response({})
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Serve one call."""
+        observed = self.observed
+        self.running += 1
+        observed.calls += 1
+        observed.paths[request.path] += 1
+        observed.most_at_once = max(observed.most_at_once, self.running)
+        try:
+            if self.running > self.find_capacity():
+                observed.over_capacity += 1
+                observed.shed += 1
+                return web.Response(status=503, text="overloaded\n")
+            return await self.run_call(request)
+        except asyncio.CancelledError:
+            observed.cancelled += 1
+            raise
+        finally:
+            self.running -= 1
+
+    async def run_call(self, request: web.Request) -> web.StreamResponse:
+        """Run a call that the server has room for."""
+        behaviour = self.behaviour
+        size = 0
+        async for part in request.content.iter_chunked(65_536):
+            if POISON in part and request.headers.get("X-Poison"):
+                os._exit(1)
+            size += len(part)
+        if key := request.headers.get("X-Run-Id"):
+            self.observed.runs[key] += 1
+        bad = self.is_bad_now(request.path)
+        factor = behaviour.slow_factor if bad else 1.0
+        if behaviour.service_ms:
+            await asyncio.sleep(behaviour.service_ms * factor / MS_PER_S)
+        if bad and self.random.random() < behaviour.error_share:
+            self.observed.errors += 1
+            return web.Response(status=500, text="failed\n")
+        headers = {"X-Server": str(self.announcement["server"])}
+        if echo := request.headers.get("X-Echo"):
+            headers["X-Echo"] = echo
+        wanted = int(request.query.get("size", "0"))
+        if wanted:
+            return await self.stream_answer(request, wanted, headers)
+        text = f"{request.method} {request.path} {size}\n"
+        return web.Response(text=text.ljust(500), headers=headers)
+
+    async def stream_answer(
+        self, request: web.Request, size: int, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Send a large answer in parts."""
+        answer = web.StreamResponse(headers=headers)
+        if request.query.get("framing") == "chunked":
+            answer.enable_chunked_encoding()
+        else:
+            answer.content_length = size
+        await answer.prepare(request)
+        part = b"x" * 65_536
+        while size > 0:
+            await answer.write(part[:size])
+            size -= len(part)
+        await answer.write_eof()
+        return answer
+
+    def find_capacity(self) -> int:
+        """Return how many calls the server bears now."""
+        warmup = self.behaviour.warmup_s
+        if not warmup:
+            return self.slots
+        warmth = min(1.0, (time.monotonic() - self.warm_since) / warmup)
+        share = self.behaviour.cold_share
+        return max(1, int(self.slots * (share + (1 - share) * warmth)))
+
+    def is_bad_now(self, path: str) -> bool:
+        """Say whether the conditions of the bad behaviour hold."""
+        behaviour = self.behaviour
+        late = time.monotonic() - self.started >= behaviour.bad_after_s
+        loaded = self.running > behaviour.bad_above_calls
+        return late and loaded and path.startswith(behaviour.bad_prefix)
+
+
+async def drain(application: web.Application, backend: Backend) -> None:
+    """Leave, then end when the running calls have ended."""
+    backend.leaving = True
+    while backend.running:
+        await asyncio.sleep(0.01)
+
+
+def run(
+    name: str, service: str, port: int, node: str, version: str = "1", slots: int = 9,
+    connections: int = 130, resources: str = "", host: str = "127.0.0.1",
+    **behaviour: float,
+) -> None:  # fmt: skip
+    """Serve until told to stop; further flags set the behaviour."""
+    names = tuple(filter(None, str(resources).split(",")))
+    backend = Backend(
+        str(name), str(service), str(version), f"{host}:{port}", str(node), slots,
+        connections, names, msgspec.convert(behaviour, Behaviour),
+    )  # fmt: skip
+    asyncio.run(serve_until_stopped(backend, host, port))
+
+
+async def serve_until_stopped(backend: Backend, host: str, port: int) -> None:
+    """Serve, and drain on SIGTERM."""
+    application = backend.build_application()
+    runner = web.AppRunner(application, access_log=None, handler_cancellation=True)
+    await runner.setup()
+    await web.TCPSite(runner, host, port).start()
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    await stopped.wait()
+    await drain(application, backend)
+    await runner.cleanup()
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
--- /dev/null
+++ b/monsoontray/__main__.py
@@ -0,0 +1,25 @@
+"""Run the command line."""
+
+from __future__ import annotations
+
+import sys
+
+import fire
+
+from monsoontray.commands.errors import CommandError
+from monsoontray.commands.tree import Commands
+
+
+def main() -> None:
+    """Run a command; end with its exit code and, on failure, one line."""
+    try:
+        fire.Fire(Commands, name="monsoontray")
+    except CommandError as error:
+        print(f"monsoontray: {error}", file=sys.stderr)
+        sys.exit(error.code)
+    except KeyboardInterrupt:
+        sys.exit(130)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/monsoontray/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line (fire)."""
--- /dev/null
+++ b/monsoontray/commands/client.py
@@ -0,0 +1,129 @@
+"""Call the operators' API of a node."""
+
+from __future__ import annotations
+
+import os
+from typing import Any
+
+import msgspec
+import urllib3
+
+from monsoontray.commands.errors import (
+    EXIT_OVERTAKEN,
+    EXIT_REFUSED,
+    EXIT_UNAVAILABLE,
+    EXIT_UNKNOWN,
+    CommandError,
+)
+from monsoontray.operators.shapes import (
+    Fault,
+    Proposal,
+    Status,
+    Verdict,
+    VersionSummary,
+)
+from monsoontray.plans.model import Version
+
+NODE_VARIABLE = "MONSOONTRAY_NODE"
+DEFAULT_NODE = "http://127.0.0.1:7004"
+READ_TIMEOUT_S = 35.0
+CONNECT_TIMEOUT_S = 2.0
+
+
+class NodeClient:
+    """Call one node's operators' API; raise CommandError."""
+
+    def __init__(self, node: str = "") -> None:
+        base = node or os.environ.get(NODE_VARIABLE, "") or DEFAULT_NODE
+        if "://" not in base:
+            base = f"http://{base}"
+        self._base = base.rstrip("/")
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+        self._pool = urllib3.PoolManager(retries=False, timeout=timeout)
+
+    def read_status(self) -> Status:
+        """Return what the node sees of the fleet."""
+        status: Status = self._decode(self._send("GET", "/status"), Status)
+        return status
+
+    def read_version(self) -> Version:
+        """Return the version in force at the node."""
+        version: Version = self._decode(self._send("GET", "/config"), Version)
+        return version
+
+    def read_history(self) -> list[VersionSummary]:
+        """Return the latest versions."""
+        answer = self._send("GET", "/history")
+        if answer.status != 200:
+            self._raise_verdict(answer)
+        summaries: list[VersionSummary] = self._decode(answer, list[VersionSummary])
+        return summaries
+
+    def validate(self, lists: bytes) -> Verdict:
+        """Have lists checked."""
+        return self._read_verdict(self._send("POST", "/validate", lists))
+
+    def propose(self, lists: bytes, based_on: int, author: str) -> Verdict:
+        """Propose lists as the next version."""
+        body = msgspec.json.encode(Proposal(based_on, author, msgspec.Raw(lists)))
+        return self._read_verdict(self._send("POST", "/config", body))
+
+    def _send(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> urllib3.BaseHTTPResponse:
+        try:
+            return self._pool.request(method, self._base + path, body=body)
+        except urllib3.exceptions.ReadTimeoutError as error:
+            code = EXIT_UNKNOWN if method == "POST" else EXIT_UNAVAILABLE
+            raise CommandError(
+                f"node {self._base} did not answer in time", code
+            ) from error
+        except urllib3.exceptions.HTTPError as error:
+            message = f"can't reach node {self._base}: {describe(error)}"
+            raise CommandError(message, EXIT_UNAVAILABLE) from error
+
+    def _read_verdict(self, answer: urllib3.BaseHTTPResponse) -> Verdict:
+        if answer.status == 200:
+            verdict: Verdict = self._decode(answer, Verdict)
+            return verdict
+        return self._raise_verdict(answer)
+
+    def _raise_verdict(self, answer: urllib3.BaseHTTPResponse) -> Verdict:
+        codes = {
+            409: EXIT_OVERTAKEN,
+            422: EXIT_REFUSED,
+            503: EXIT_UNAVAILABLE,
+            504: EXIT_UNKNOWN,
+        }
+        if answer.status not in codes:
+            self._raise_fault(answer)
+        try:
+            verdict = msgspec.json.decode(answer.data, type=Verdict)
+        except msgspec.DecodeError:
+            self._raise_fault(answer)
+        detail = verdict.detail or "; ".join(verdict.faults)
+        raise CommandError(f"{verdict.outcome}: {detail}", codes[answer.status])
+
+    def _decode(self, answer: urllib3.BaseHTTPResponse, shape: Any) -> Any:
+        if answer.status != 200:
+            self._raise_fault(answer)
+        try:
+            return msgspec.json.decode(answer.data, type=shape)
+        except msgspec.DecodeError as error:
+            message = f"node {self._base} gave an answer that can't be read: {error}"
+            raise CommandError(message, EXIT_UNAVAILABLE) from error
+
+    def _raise_fault(self, answer: urllib3.BaseHTTPResponse) -> None:
+        try:
+            text = msgspec.json.decode(answer.data, type=Fault).error
+        except msgspec.DecodeError:
+            text = f"status {answer.status}"
+        code = EXIT_REFUSED if answer.status < 500 else EXIT_UNAVAILABLE
+        raise CommandError(f"node {self._base}: {text}", code)
+
+
+def describe(error: Exception) -> str:
+    """Return the innermost cause of an error in a few words."""
+    reason = getattr(error, "reason", None) or error
+    cause = reason.__cause__ or reason
+    return str(getattr(cause, "strerror", None) or cause)
--- /dev/null
+++ b/monsoontray/commands/tree.py
@@ -0,0 +1,272 @@
+"""The commands that operators type."""
+
+from __future__ import annotations
+
+import getpass
+import sys
+from collections.abc import Iterator
+from difflib import unified_diff
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from monsoontray import __version__
+from monsoontray.commands.client import NodeClient
+from monsoontray.commands.errors import EXIT_REFUSED, EXIT_USAGE, CommandError
+from monsoontray.commands.tables import render_table, render_time
+from monsoontray.operators.shapes import Status
+from monsoontray.plans.encoding import decode_lists
+from monsoontray.plans.errors import InvalidListsError
+from monsoontray.plans.model import Customer, Lists
+from monsoontray.settings.errors import SettingsError
+from monsoontray.settings.settings import Settings, load_settings
+
+
+class NodeCommands:
+    """Run a node."""
+
+    def run(self, settings: str) -> None:
+        """Run a node with a settings file until it is told to stop."""
+        from monsoontray.node import run_node
+
+        sys.exit(run_node(_load_settings(settings)))
+
+
+class ConfigCommands:
+    """Read and change the lists; --node names the operators' address of any node."""
+
+    def show(self, node: str = "", lists: bool = False, json: bool = False) -> None:
+        """Show the version in force; --lists prints only what apply takes."""
+        version = NodeClient(str(node)).read_version()
+        if json:
+            _print_json(version)
+            return
+        if not lists:
+            accepted = render_time(version.accepted_at)
+            print(
+                f"version {version.number}, accepted {accepted} from {version.author}"
+            )
+        print(_format(version.lists))
+
+    def edit(
+        self,
+        customer: str,
+        plan: str = "",
+        token_sha256: str = "",
+        remove: bool = False,
+        node: str = "",
+        author: str = "",
+        json: bool = False,
+    ) -> None:
+        """Move a customer to a plan, add one (--token-sha256) or --remove one."""
+        client = NodeClient(str(node))
+        version = client.read_version()
+        lists = _edit_customer(
+            version.lists, str(customer), str(plan), str(token_sha256), remove
+        )
+        verdict = client.propose(_encode(lists), version.number, _find_author(author))
+        _report(verdict, f"version {verdict.number} accepted", json)
+
+    def apply(
+        self,
+        file: str,
+        based_on: int | None = None,
+        node: str = "",
+        author: str = "",
+        json: bool = False,
+    ) -> None:
+        """Propose a file of lists as the version after --based-on (or the latest)."""
+        client = NodeClient(str(node))
+        lists = _read_lists(file)
+        if based_on is None:
+            based_on = client.read_status().version
+        if not isinstance(based_on, int):
+            message = f"--based-on must be a number, not {based_on!r}"
+            raise CommandError(message, EXIT_USAGE)
+        verdict = client.propose(lists, based_on, _find_author(author))
+        _report(verdict, f"version {verdict.number} accepted", json)
+
+    def history(self, node: str = "", json: bool = False) -> None:
+        """Show the latest versions, the newest first."""
+        versions = NodeClient(str(node)).read_history()
+        if json:
+            _print_json(versions)
+            return
+        rows = [
+            (
+                str(each.number),
+                render_time(each.accepted_at),
+                each.author,
+                str(each.customers),
+                str(each.plans),
+            )
+            for each in versions
+        ]
+        print(
+            render_table(("version", "accepted", "author", "customers", "plans"), rows)
+        )
+
+    def diff(self, file: str, node: str = "", json: bool = False) -> None:
+        """Show how a file of lists differs from the version in force."""
+        version = NodeClient(str(node)).read_version()
+        proposed = _decode_lists(_read_lists(file))
+        before = _format(version.lists).splitlines()
+        after = _format(proposed).splitlines()
+        label = f"version {version.number}"
+        lines = list(unified_diff(before, after, label, str(file), lineterm=""))
+        if json:
+            _print_json({"differs": bool(lines), "lines": lines})
+        else:
+            print("\n".join(lines) if lines else f"no difference from {label}")
+
+    def validate(self, file: str, json: bool = False) -> None:
+        """Check a file of lists without a node."""
+        lists = _decode_lists(_read_lists(file))
+        counts = {"customers": len(lists.customers), "plans": len(lists.plans)}
+        if json:
+            _print_json({"outcome": "valid", **counts})
+        else:
+            print(f"valid: {counts['customers']} customers, {counts['plans']} plans")
+
+
+class Commands:
+    """Monsoontray: configuration distribution for a service mesh."""
+
+    def __init__(self) -> None:
+        self.node = NodeCommands()
+        self.config = ConfigCommands()
+
+    def status(self, node: str = "", json: bool = False) -> None:
+        """Show versions, zones, nodes and servers as a node sees them."""
+        status = NodeClient(str(node)).read_status()
+        if json:
+            _print_json(status)
+        else:
+            _print_status(status)
+
+    def check_settings(self, file: str, json: bool = False) -> None:
+        """Check a settings file."""
+        settings = _load_settings(file)
+        if json:
+            _print_json({"outcome": "valid", "settings": settings.get_values()})
+        else:
+            print(f"valid: node {settings.get_text('node')!r}")
+
+    def version(self, json: bool = False) -> None:
+        """Show the version of the software."""
+        if json:
+            _print_json({"version": __version__})
+        else:
+            print(f"monsoontray {__version__}")
+
+
+def _load_settings(file: str) -> Settings:
+    try:
+        return load_settings(Path(str(file)))
+    except SettingsError as error:
+        raise CommandError(str(error), EXIT_REFUSED) from error
+
+
+def _read_lists(file: str) -> bytes:
+    try:
+        return Path(str(file)).read_bytes()
+    except OSError as error:
+        raise CommandError(
+            f"can't read {file}: {error.strerror}", EXIT_REFUSED
+        ) from error
+
+
+def _decode_lists(content: bytes) -> Lists:
+    try:
+        return decode_lists(content)
+    except InvalidListsError as error:
+        raise CommandError(f"rejected: {error}", EXIT_REFUSED) from error
+
+
+def _edit_customer(
+    lists: Lists, customer: str, plan: str, token_sha256: str, remove: bool
+) -> Lists:
+    known = {entry.customer: entry for entry in lists.customers}
+    entry = known.get(customer)
+    if remove:
+        if entry is None:
+            raise CommandError(f"there is no customer {customer!r}", EXIT_REFUSED)
+        del known[customer]
+    else:
+        known[customer] = _change_customer(entry, customer, plan, token_sha256)
+    return msgspec.structs.replace(lists, customers=tuple(known.values()))
+
+
+def _change_customer(
+    entry: Customer | None, customer: str, plan: str, token_sha256: str
+) -> Customer:
+    if entry is None and not (plan and token_sha256):
+        message = f"customer {customer!r} is new: --plan and --token-sha256 are needed"
+        raise CommandError(message, EXIT_REFUSED)
+    if entry is None:
+        return Customer(customer, plan, token_sha256)
+    if not plan and not token_sha256:
+        raise CommandError("give --plan, --token-sha256 or --remove", EXIT_USAGE)
+    return Customer(customer, plan or entry.plan, token_sha256 or entry.token_sha256)
+
+
+def _find_author(author: str) -> str:
+    return str(author) or getpass.getuser()
+
+
+def _encode(value: object) -> bytes:
+    return msgspec.json.encode(value)
+
+
+def _format(value: object) -> str:
+    return msgspec.json.format(_encode(value), indent=2).decode()
+
+
+def _print_json(value: object) -> None:
+    print(_encode(value).decode())
+
+
+def _report(value: Any, text: str, json: bool) -> None:
+    if json:
+        _print_json(value)
+    else:
+        print(text)
+
+
+def _print_status(status: Status) -> None:
+    print(f"node {status.node}: version {status.version}, {status.calls} calls now")
+    if status.refused:
+        print(f"latest version refused: {status.refused}")
+    zone_rows = [
+        (zone.zone, str(zone.nodes), _join_versions(zone.versions), _join(zone.behind))
+        for zone in status.zones
+    ]
+    print()
+    print(render_table(("zone", "nodes", "version: nodes", "behind"), zone_rows))
+    print()
+    print(
+        render_table(
+            ("node", "zone", "state", "version", "servers", "waits for"),
+            list(_list_nodes(status)),
+        )
+    )
+
+
+def _list_nodes(status: Status) -> Iterator[tuple[str, ...]]:
+    for node in status.nodes:
+        servers = _join(
+            f"{s.server} ({s.service} {s.version}, {s.state})" for s in node.servers
+        )
+        state = f"{node.state}, watches" if node.watching else node.state
+        zone = f"{node.region}/{node.zone}"
+        waits = _join(node.waiting_routes)
+        yield (node.node, zone, state, str(node.version), servers, waits)
+
+
+def _join(items: Any) -> str:
+    return ", ".join(items) or "-"
+
+
+def _join_versions(versions: dict[str, int]) -> str:
+    return _join(f"{number}: {count}" for number, count in sorted(versions.items()))
--- /dev/null
+++ b/monsoontray/forwarding/connection.py
@@ -0,0 +1,148 @@
+"""What connections to callers and to servers have in common."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from typing import TYPE_CHECKING
+
+from monsoontray.kernel.sockets import BROKEN, READABLE, WRITABLE
+
+if TYPE_CHECKING:
+    from monsoontray.forwarding.forwarder import Forwarder
+
+READ_BYTES = 65_536
+
+
+class Connection:
+    """Own one socket: read what arrives and write what is buffered."""
+
+    __slots__ = (
+        "_descriptor",
+        "_events",
+        "_out",
+        "_unwritable",
+        "closed",
+        "dirty",
+        "forwarder",
+        "out_bytes",
+        "sock",
+    )
+
+    def __init__(
+        self, sock: socket.socket, forwarder: Forwarder, events: int = READABLE
+    ) -> None:
+        self.sock = sock
+        self.forwarder = forwarder
+        self.closed = False
+        self.dirty = False
+        self.out_bytes = 0
+        self._unwritable = False
+        self._out: list[bytes] = []
+        self._events = events
+        self._descriptor = sock.fileno()
+        forwarder.add_socket(self._descriptor, self, events)
+
+    def act(self, events: int) -> None:
+        """Act on events of the socket."""
+        if events & (READABLE | BROKEN):
+            self._read()
+        if events & WRITABLE and not self.closed:
+            self.flush()
+
+    def write(self, data: bytes) -> None:
+        """Buffer bytes; they are sent when the current event is done."""
+        if self._unwritable:
+            return
+        self._out.append(data)
+        self.out_bytes += len(data)
+        if not self.dirty:
+            self.dirty = True
+            self.forwarder.dirty_connections.append(self)
+
+    def flush(self) -> None:
+        """Send what is buffered, as far as the socket takes it."""
+        self.dirty = False
+        if self.closed:
+            return
+        if not self._out:
+            self._set_events(self._events & ~WRITABLE)
+            return
+        data = self._out[0] if len(self._out) == 1 else b"".join(self._out)
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self._drop_output()
+            return
+        self.out_bytes -= sent
+        if sent == len(data):
+            self._out.clear()
+            if self._events & WRITABLE:
+                self._set_events(self._events & ~WRITABLE)
+        else:
+            self._out = [data[sent:]]
+            self._set_events(self._events | WRITABLE)
+        self.on_sent()
+
+    def pause_reading(self) -> None:
+        """Leave further bytes in the socket."""
+        self._set_events(self._events & ~READABLE)
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        if not self.closed:
+            self._set_events(self._events | READABLE)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.closed:
+            return
+        self.closed = True
+        self._out.clear()
+        self.out_bytes = 0
+        self.forwarder.remove_socket(self._descriptor)
+        self.sock.close()
+
+    def on_data(self, data: bytes) -> None:
+        """Act on received bytes."""
+        raise NotImplementedError
+
+    def on_lost(self) -> None:
+        """Act on the end of the connection."""
+        raise NotImplementedError
+
+    def on_sent(self) -> None:
+        """Act on bytes having left the buffer."""
+
+    def _drop_output(self) -> None:
+        """Write no more; what the peer sent before it broke off is still read."""
+        self._unwritable = True
+        self._out.clear()
+        self.out_bytes = 0
+        self._set_events((self._events | READABLE) & ~WRITABLE)
+
+    def _read(self) -> None:
+        try:
+            data = self.sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if data:
+            self.on_data(data)
+        else:
+            self.on_lost()
+
+    def _set_events(self, events: int) -> None:
+        if events != self._events and not self.closed:
+            self._events = events
+            self.forwarder.change_events(self._descriptor, events)
+
+
+def prepare_socket(sock: socket.socket) -> None:
+    """Set the options that every connection has."""
+    sock.setblocking(False)
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/monsoontray/forwarding/limits.py
@@ -0,0 +1,46 @@
+"""Limits of forwarding, read from the settings."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from monsoontray.forwarding.parsing import HeadLimits
+
+if TYPE_CHECKING:
+    from monsoontray.settings.settings import Settings
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """Bound what one caller, call or connection may use."""
+
+    head: HeadLimits
+    callers: int
+    call_s: float
+    head_s: float
+    idle_s: float
+    connect_s: float
+    stream_bytes: int
+    replay_bytes: int
+    queue_length: int
+    max_attempts: int
+
+
+def read_limits(settings: Settings) -> Limits:
+    """Return the limits that the settings state."""
+    head = HeadLimits(
+        settings.get_number("max_header_count"), settings.get_number("max_head_bytes")
+    )
+    return Limits(
+        head=head,
+        callers=settings.get_number("max_caller_connections"),
+        call_s=settings.get_seconds("call_timeout_ms"),
+        head_s=settings.get_seconds("head_timeout_ms"),
+        idle_s=settings.get_seconds("idle_timeout_ms"),
+        connect_s=settings.get_seconds("connect_timeout_ms"),
+        stream_bytes=settings.get_number("stream_buffer_bytes"),
+        replay_bytes=settings.get_number("replay_buffer_bytes"),
+        queue_length=settings.get_number("guard_queue_length"),
+        max_attempts=settings.get_number("max_attempts"),
+    )
--- /dev/null
+++ b/monsoontray/forwarding/messages.py
@@ -0,0 +1,57 @@
+"""Messages that the forwarder takes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from monsoontray.decisions.admission import Entitlements
+from monsoontray.decisions.servers import ServerRecord, ServerTable
+from monsoontray.kernel.mailbox import Reply
+from monsoontray.settings.settings import Address
+
+
+@dataclass(slots=True, frozen=True)
+class EnforceEntitlements:
+    """Put a version in force."""
+
+    entitlements: Entitlements
+
+
+@dataclass(slots=True, frozen=True)
+class UseServers:
+    """Take a changed table of the fleet's servers."""
+
+    servers: ServerTable
+
+
+@dataclass(slots=True, frozen=True)
+class LocalServer:
+    """Describe a backend server on this VM."""
+
+    record: ServerRecord
+    address: Address
+
+
+@dataclass(slots=True, frozen=True)
+class GuardServers:
+    """Take the changed set of backend servers on this VM."""
+
+    servers: tuple[LocalServer, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class DescribeForwarding:
+    """Ask for the forwarder's state."""
+
+    reply: Reply
+
+
+@dataclass(slots=True, frozen=True)
+class ForwardingState:
+    """Describe the forwarder: connections and calls now."""
+
+    callers: int
+    calls: int
+    version: int
+    slots_in_use: int
+    waiting: int
--- /dev/null
+++ b/monsoontray/forwarding/upstream.py
@@ -0,0 +1,215 @@
+"""Connections to guards and to the local backend server."""
+
+from __future__ import annotations
+
+import socket
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+from monsoontray.decisions.outcomes import Reason
+from monsoontray.forwarding.connection import Connection, prepare_socket
+from monsoontray.forwarding.heads import END_OF_MESSAGE, AnswerHead, EndOfMessage
+from monsoontray.forwarding.parsing import AnswerParser, Malformed
+from monsoontray.kernel.sockets import BROKEN, READABLE, WRITABLE
+
+if TYPE_CHECKING:
+    from monsoontray.forwarding.call import Call
+    from monsoontray.forwarding.forwarder import Forwarder
+    from monsoontray.kernel.timers import Timer
+    from monsoontray.settings.settings import Address
+
+
+class UpstreamConnection(Connection):
+    """Own one socket towards a guard or a backend server."""
+
+    __slots__ = (
+        "_connect_timer",
+        "_keep_alive",
+        "_parser",
+        "address",
+        "call",
+        "connected",
+        "spent",
+    )
+
+    def __init__(
+        self, sock: socket.socket, forwarder: Forwarder, address: Address
+    ) -> None:
+        super().__init__(sock, forwarder, READABLE | WRITABLE)
+        self.address = address
+        self.call: Call | None = None
+        self.connected = False
+        self.spent = False  # no further request may be sent on it
+        self._keep_alive = True
+        self._parser = AnswerParser(forwarder.limits.head)
+        deadline = forwarder.clock.now() + forwarder.limits.connect_s
+        self._connect_timer: Timer | None = forwarder.timers.add(
+            deadline, self._give_up_connecting
+        )
+
+    def act(self, events: int) -> None:
+        """Act on events of the socket."""
+        if not self.connected and not self._complete_connecting(events):
+            return
+        super().act(events)
+
+    def begin_call(self, call: Call, method: str) -> None:
+        """Carry a call."""
+        self.call = call
+        self._keep_alive = True
+        self._parser.expect_answer(method)
+
+    def on_data(self, data: bytes) -> None:
+        """Act on received bytes."""
+        events = self._parser.feed(data)
+        if END_OF_MESSAGE in events[:-1]:
+            self.spent = True
+        for event in events:
+            if self.call is None:
+                # Bytes that no request asked for must not pass for an answer.
+                self.close()
+                return
+            accept_event(event, self)
+
+    def on_lost(self) -> None:
+        """Tell the call that its connection has ended."""
+        self._lose(Reason.CONNECTION_LOST)
+
+    def on_sent(self) -> None:
+        """Let the request flow again once the server has taken enough."""
+        if self.call is not None:
+            self.call.on_upstream_sent(self.out_bytes)
+
+    def close(self) -> None:
+        """Close the socket and forget its timer."""
+        if self.closed:
+            return
+        self._cancel_connect_timer()
+        super().close()
+        self.forwarder.pool.forget(self)
+
+    def finish_answer(self) -> None:
+        """Pass on the end of an answer and keep the connection if it is clean."""
+        call = self.call
+        assert call is not None
+        self.call = None
+        if self._keep_alive and not self.spent and call.request_ended:
+            self.resume_reading()
+            self.forwarder.pool.keep(self)
+        else:
+            self.close()
+        call.on_answer_end()
+
+    def note_head(self, head: AnswerHead) -> None:
+        """Pass on the head of an answer."""
+        self._keep_alive = head.keep_alive
+        assert self.call is not None
+        self.call.on_answer_head(head)
+
+    def reject(self, malformed: Malformed) -> None:
+        """Give up a connection whose answer can't be read."""
+        self._lose(Reason.BAD_ANSWER)
+
+    def _complete_connecting(self, events: int) -> bool:
+        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error or events & BROKEN:
+            self._lose(Reason.UNREACHABLE)
+            return False
+        self.connected = True
+        self._cancel_connect_timer()
+        if self.call is not None:
+            self.call.on_upstream_connected()
+        return True
+
+    def _give_up_connecting(self) -> None:
+        self._connect_timer = None
+        self._lose(Reason.UNREACHABLE)
+
+    def _cancel_connect_timer(self) -> None:
+        if self._connect_timer is not None:
+            self.forwarder.timers.cancel(self._connect_timer)
+            self._connect_timer = None
+
+    def _lose(self, reason: Reason) -> None:
+        call = self.call
+        self.call = None
+        self.close()
+        if call is not None:
+            call.on_upstream_lost(reason)
+
+
+class UpstreamPool:
+    """Keep idle connections by address, the latest used first."""
+
+    __slots__ = ("_forwarder", "_idle")
+
+    def __init__(self, forwarder: Forwarder) -> None:
+        self._forwarder = forwarder
+        self._idle: dict[Address, list[UpstreamConnection]] = {}
+
+    def take(self, address: Address) -> UpstreamConnection:
+        """Return an idle connection or a new one; raise OSError."""
+        idle = self._idle.get(address)
+        if idle:
+            return idle.pop()
+        return self._open(address)
+
+    def keep(self, connection: UpstreamConnection) -> None:
+        """Keep an idle connection for the next call."""
+        self._idle.setdefault(connection.address, []).append(connection)
+
+    def forget(self, connection: UpstreamConnection) -> None:
+        """Remove a connection that was closed."""
+        idle = self._idle.get(connection.address)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
+
+    def close_address(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in list(self._idle.get(address, ())):
+            connection.close()
+        self._idle.pop(address, None)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for address in list(self._idle):
+            self.close_address(address)
+
+    def _open(self, address: Address) -> UpstreamConnection:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        prepare_socket(sock)
+        try:
+            sock.connect((address.host, address.port))
+        except BlockingIOError:
+            pass
+        except OSError:
+            sock.close()
+            raise
+        return UpstreamConnection(sock, self._forwarder, address)
+
+
+@singledispatch
+def accept_event(event: Any, upstream: UpstreamConnection) -> None:
+    """Act on an event of the answer parser."""
+    raise TypeError(f"no such event: {event!r}")
+
+
+@accept_event.register(AnswerHead)
+def _(event: AnswerHead, upstream: UpstreamConnection) -> None:
+    upstream.note_head(event)
+
+
+@accept_event.register(bytes)
+def _(event: bytes, upstream: UpstreamConnection) -> None:
+    assert upstream.call is not None
+    upstream.call.on_answer_body(event)
+
+
+@accept_event.register(EndOfMessage)
+def _(event: EndOfMessage, upstream: UpstreamConnection) -> None:
+    upstream.finish_answer()
+
+
+@accept_event.register(Malformed)
+def _(event: Malformed, upstream: UpstreamConnection) -> None:
+    upstream.reject(event)
--- /dev/null
+++ b/monsoontray/node.py
@@ -0,0 +1,55 @@
+"""Assemble and run a node from its services."""
+
+from __future__ import annotations
+
+import signal
+from importlib import import_module
+from types import FrameType
+
+from loguru import logger
+
+from monsoontray.kernel.clock import SystemClock
+from monsoontray.kernel.kernel import Kernel
+from monsoontray.kernel.messages import StopRequested
+from monsoontray.logs import set_up_log
+from monsoontray.settings.service import register_settings
+from monsoontray.settings.settings import Settings
+
+#: Modules that offer ``setup(kernel)``, each one service.
+SERVICE_MODULES = (
+    "monsoontray.metrics.service",
+    "monsoontray.store.service",
+    "monsoontray.forwarding.forwarder",
+    "monsoontray.membership.service",
+    "monsoontray.membership.peers",
+    "monsoontray.configuration.service",
+    "monsoontray.configuration.acceptance",
+    "monsoontray.configuration.watcher",
+    "monsoontray.operators.service",
+)
+EXIT_STOPPED = 0
+EXIT_FAILED = 70
+
+
+def run_node(settings: Settings) -> int:
+    """Run a node until it is told to stop; return the exit code."""
+    set_up_log(
+        settings.get_text("log_format"),
+        settings.get_text("log_level"),
+        settings.get_text("node"),
+    )
+    kernel = Kernel(SystemClock(), settings.get_seconds("stop_grace_ms"))
+    register_settings(kernel, settings)
+    for name in SERVICE_MODULES:
+        import_module(name).setup(kernel)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda got, frame: _request_stop(kernel, got, frame))
+    kernel.start()
+    logger.info("node started")
+    kernel.run()
+    kernel.stop()
+    return EXIT_FAILED if kernel.failed else EXIT_STOPPED
+
+
+def _request_stop(kernel: Kernel, number: int, frame: FrameType | None) -> None:
+    kernel.post_to_kernel(StopRequested(signal.Signals(number).name))
--- /dev/null
+++ b/monsoontray/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Serve operators, announcements and metrics over HTTP (CherryPy)."""
--- /dev/null
+++ b/monsoontray/operators/service.py
@@ -0,0 +1,305 @@
+"""The CherryPy front end: translates requests to messages, decides nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+import cherrypy
+import msgspec
+from loguru import logger
+
+from monsoontray.configuration.messages import (
+    Accepted,
+    History,
+    Overtaken,
+    ProposeLists,
+    ReadHistory,
+    ReadVersion,
+    Rejected,
+    StoreFailed,
+    Undecided,
+    VersionInUse,
+)
+from monsoontray.decisions.servers import ServerRecord, ServerState
+from monsoontray.forwarding.messages import DescribeForwarding
+from monsoontray.kernel.errors import ReplyTimeoutError
+from monsoontray.kernel.kernel import Kernel, Registration
+from monsoontray.membership.messages import AnnounceServer, DescribeFleet, ServerLeaves
+from monsoontray.operators.shapes import (
+    Announcement,
+    AnnouncementAnswer,
+    Fault,
+    Leaving,
+    Proposal,
+    Verdict,
+    VersionSummary,
+)
+from monsoontray.operators.status import build_status
+from monsoontray.plans.encoding import decode_lists
+from monsoontray.plans.errors import InvalidListsError
+from monsoontray.plans.model import Version
+from monsoontray.settings.settings import Settings, parse_address
+
+if TYPE_CHECKING:
+    from monsoontray.kernel.clock import Clock
+
+NAME = "operators"
+THREADS = 4
+ASK_TIMEOUT_S = 2.0
+PROPOSAL_TIMEOUT_S = 30.0
+MAX_BODY_BYTES = 2_000_000
+HISTORY_COUNT = 20
+
+
+class OperatorsApi:
+    """Translate HTTP requests of operators and backend servers."""
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        self._kernel = kernel
+        self._clock: Clock = kernel.clock
+        self._lifetime_ms = settings.get_number("announcement_lifetime_ms")
+
+    @cherrypy.expose
+    def health(self) -> bytes:
+        """Say that the node runs."""
+        return b"ok\n"
+
+    @cherrypy.expose
+    def metrics(self) -> bytes:
+        """Return the metrics."""
+        cherrypy.response.headers["Content-Type"] = "text/plain; version=0.0.4"
+        rendered: bytes = self._kernel.find("metrics").render()
+        return rendered
+
+    @cherrypy.expose
+    def status(self) -> bytes:
+        """Return what this node sees of the fleet."""
+        fleet = self._ask("membership", DescribeFleet)
+        forwarding = self._ask("forwarding", DescribeForwarding)
+        version = self._ask("configuration", ReadVersion)
+        return _write_json(build_status(fleet, forwarding, version))
+
+    @cherrypy.expose
+    def config(self) -> bytes:
+        """Return the version in force, or take a proposal."""
+        if cherrypy.request.method == "POST":
+            return self._propose()
+        in_use: VersionInUse = self._ask("configuration", ReadVersion)
+        if in_use.version is None:
+            return _write_json(Fault("no version is in force"), 404)
+        return _write_json(in_use.version)
+
+    @cherrypy.expose
+    def validate(self) -> bytes:
+        """Check lists without accepting them."""
+        try:
+            decode_lists(_read_body())
+        except InvalidListsError as error:
+            return _write_json(Verdict("rejected", faults=tuple(error.faults)), 422)
+        return _write_json(Verdict("valid"))
+
+    @cherrypy.expose
+    def history(self) -> bytes:
+        """Return the latest versions."""
+        outcome = self._ask(
+            "acceptance",
+            lambda reply: ReadHistory(HISTORY_COUNT, reply),
+            PROPOSAL_TIMEOUT_S,
+        )
+        return write_outcome(outcome)
+
+    @cherrypy.expose
+    def announce(self) -> bytes:
+        """Take a backend server's announcement."""
+        body = _decode_body(Announcement)
+        for name in ("slots", "connections"):
+            value = getattr(body, name)
+            if value < 1:
+                raise _BadRequestError(f"{name!r} must be at least 1, not {value}")
+        try:
+            address = parse_address(body.address)
+        except ValueError as error:
+            raise _BadRequestError(f"'address': {error}") from None
+        record = ServerRecord(
+            server=body.server,
+            service=body.service,
+            version=body.version,
+            resources=body.resources,
+            slots=body.slots,
+            connections=body.connections,
+            state=ServerState.SERVING,
+        )
+        self._kernel.post("membership", AnnounceServer(record, address))
+        return _write_json(AnnouncementAnswer(self._lifetime_ms))
+
+    @cherrypy.expose
+    def leave(self) -> bytes:
+        """Take a backend server's word that it leaves."""
+        body = _decode_body(Leaving)
+        self._kernel.post("membership", ServerLeaves(body.server))
+        return _write_json(AnnouncementAnswer(self._lifetime_ms))
+
+    def _propose(self) -> bytes:
+        body = _decode_body(Proposal)
+        outcome = self._ask(
+            "acceptance",
+            lambda reply: ProposeLists(
+                bytes(body.lists), body.based_on, body.author, reply
+            ),
+            PROPOSAL_TIMEOUT_S,
+        )
+        return write_outcome(outcome)
+
+    def _ask(
+        self,
+        service: str,
+        build: Callable[[Any], object],
+        timeout_s: float = ASK_TIMEOUT_S,
+    ) -> Any:
+        deadline = self._clock.now() + timeout_s
+        try:
+            return self._kernel.ask(service, build, deadline)
+        except ReplyTimeoutError:
+            raise cherrypy.HTTPError(
+                503, f"service {service} did not answer in time"
+            ) from None
+
+
+class _BadRequestError(cherrypy.HTTPError):
+    """Refuse a request whose body can't be used."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(400, message)
+
+
+@singledispatch
+def write_outcome(outcome: Any) -> bytes:
+    """Return the body that tells an outcome and set the status."""
+    raise TypeError(f"no such outcome: {outcome!r}")
+
+
+@write_outcome.register(Accepted)
+def _(outcome: Accepted) -> bytes:
+    name = outcome.name
+    return _write_json(Verdict("accepted", name.number, name.digest))
+
+
+@write_outcome.register(Rejected)
+def _(outcome: Rejected) -> bytes:
+    return _write_json(Verdict("rejected", faults=outcome.faults), 422)
+
+
+@write_outcome.register(Overtaken)
+def _(outcome: Overtaken) -> bytes:
+    by = f" by {outcome.author}" if outcome.author else ""
+    detail = (
+        f"the change is based on version {outcome.based_on}, "
+        f"but version {outcome.latest}{by} is the latest"
+    )
+    return _write_json(Verdict("overtaken", outcome.latest, detail=detail), 409)
+
+
+@write_outcome.register(StoreFailed)
+def _(outcome: StoreFailed) -> bytes:
+    detail = f"nothing was changed: the store did not serve ({outcome.cause})"
+    return _write_json(Verdict("not-done", detail=detail), 503)
+
+
+@write_outcome.register(Undecided)
+def _(outcome: Undecided) -> bytes:
+    name = outcome.name
+    detail = (
+        f"version {name.number} may have been accepted or not ({outcome.cause}); "
+        "see config history before trying again"
+    )
+    return _write_json(Verdict("unknown", name.number, name.digest, detail=detail), 504)
+
+
+@write_outcome.register(History)
+def _(outcome: History) -> bytes:
+    return _write_json([_summarize(version) for version in outcome.versions])
+
+
+def _summarize(version: Version) -> VersionSummary:
+    return VersionSummary(
+        number=version.number,
+        digest_of_previous=version.previous.digest if version.previous else "",
+        author=version.author,
+        accepted_at=version.accepted_at,
+        customers=len(version.lists.customers),
+        plans=len(version.lists.plans),
+    )
+
+
+def _read_body() -> bytes:
+    if cherrypy.request.method != "POST":
+        raise cherrypy.HTTPError(405, "use POST")
+    body: bytes = cherrypy.request.body.fp.read(MAX_BODY_BYTES + 1)
+    if len(body) > MAX_BODY_BYTES:
+        raise cherrypy.HTTPError(413, f"the body exceeds {MAX_BODY_BYTES} bytes")
+    return body
+
+
+def _decode_body(shape: Any) -> Any:
+    try:
+        return msgspec.json.decode(_read_body(), type=shape)
+    except msgspec.DecodeError as error:
+        raise _BadRequestError(str(error)) from None
+
+
+def _write_json(value: object, status: int = 200) -> bytes:
+    cherrypy.response.status = status
+    cherrypy.response.headers["Content-Type"] = "application/json"
+    return msgspec.json.encode(value) + b"\n"
+
+
+def _write_error(status: str, message: str, traceback: str, version: str) -> bytes:
+    cherrypy.response.headers["Content-Type"] = "application/json"
+    return msgspec.json.encode(Fault(message)) + b"\n"
+
+
+class OperatorsService:
+    """Own the CherryPy server."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        settings: Settings = kernel.find("settings").settings
+        self._address = settings.get_address("operator_address")
+        self._api = OperatorsApi(kernel, settings)
+
+    def start(self) -> None:
+        """Serve operators; raise OSError when the address is taken."""
+        cherrypy.config.update(
+            {
+                "server.socket_host": self._address.host,
+                "server.socket_port": self._address.port,
+                "server.thread_pool": THREADS,
+                "server.max_request_body_size": MAX_BODY_BYTES,
+                "engine.autoreload.on": False,
+                "checker.on": False,
+                "log.screen": False,
+                "request.show_tracebacks": False,
+                "error_page.default": _write_error,
+                "tools.encode.on": False,
+            }
+        )
+        body_as_sent = {"/": {"request.process_request_body": False}}
+        cherrypy.tree.mount(self._api, "/", body_as_sent)
+        cherrypy.engine.signals.subscriptions = {}
+        cherrypy.engine.start()
+        logger.info("operators' API at {}", self._address)
+
+    def stop(self, deadline: float) -> None:
+        """Stop serving."""
+        cherrypy.engine.exit()
+
+    def post(self, message: object) -> None:
+        """Reject messages; the service takes none."""
+        raise TypeError(f"the operators service takes no messages: {message!r}")
+
+
+def setup(kernel: Kernel) -> None:
+    """Register the service."""
+    requires = ("settings", "metrics", "forwarding", "membership", "acceptance")
+    kernel.register(Registration(NAME, requires, OperatorsService))
--- /dev/null
+++ b/monsoontray/operators/status.py
@@ -0,0 +1,70 @@
+"""Build the status that operators see from the tasks' answers."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from monsoontray import __version__
+from monsoontray.configuration.messages import VersionInUse
+from monsoontray.decisions.fleet import NodeRecord, NodeState
+from monsoontray.forwarding.messages import ForwardingState
+from monsoontray.membership.messages import FleetState
+from monsoontray.operators.shapes import NodeStatus, ServerStatus, Status, ZoneStatus
+
+
+def build_status(
+    fleet: FleetState, forwarding: ForwardingState, version: VersionInUse
+) -> Status:
+    """Return the status."""
+    records = sorted(fleet.records, key=lambda each: (each.zone, each.node))
+    return Status(
+        node=fleet.own,
+        software=__version__,
+        version=version.name.number,
+        digest=version.name.digest,
+        refused=version.refused,
+        callers=forwarding.callers,
+        calls=forwarding.calls,
+        slots_in_use=forwarding.slots_in_use,
+        waiting=forwarding.waiting,
+        zones=_summarize_zones(records),
+        nodes=tuple(_describe_node(record) for record in records),
+    )
+
+
+def _summarize_zones(records: list[NodeRecord]) -> tuple[ZoneStatus, ...]:
+    alive = [record for record in records if record.state is not NodeState.DEAD]
+    highest = max((record.version.number for record in alive), default=0)
+    names = sorted({(record.region, record.zone) for record in alive})
+    zones = []
+    for region, zone in names:
+        members = [r for r in alive if (r.region, r.zone) == (region, zone)]
+        versions = Counter(str(record.version.number) for record in members)
+        behind = [r.node for r in members if r.version.number < highest]
+        zones.append(
+            ZoneStatus(f"{region}/{zone}", len(members), dict(versions), tuple(behind))
+        )
+    return tuple(zones)
+
+
+def _describe_node(record: NodeRecord) -> NodeStatus:
+    servers = tuple(
+        ServerStatus(
+            server=server.server,
+            service=server.service,
+            version=server.version,
+            state=server.state.value,
+            slots=server.slots,
+        )
+        for server in record.servers
+    )
+    return NodeStatus(
+        node=record.node,
+        region=record.region,
+        zone=record.zone,
+        state=record.state.name.lower(),
+        version=record.version.number,
+        watching=record.watching,
+        waiting_routes=record.waiting_routes,
+        servers=servers,
+    )
