Add the fault-injecting proxy and the first experiments

Cause: the target of 0.32 ms and the promises need figures seen from outside. Change: bench list, run latency, throughput and convergence; fault schedules; a TCP proxy that knows connections by the zone of the process that opened them. Before: none.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,72 @@
+"""Run experiments: ``python -m bench list``, ``run NAME`` and ``demo``."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import fire
+import msgspec
+
+from bench.experiments.registry import EXPERIMENTS
+from bench.options import OptionsError, build_options, describe_run
+
+RESULTS = Path(__file__).parent / "results"
+EXIT_BAD_ARGUMENTS = 2
+
+
+class Commands:
+    """Measure monsoontray with small stand-ins."""
+
+    def list(self) -> None:
+        """Name the experiments."""
+        for experiment in EXPERIMENTS.values():
+            print(f"{experiment.name:12} {experiment.summary}")
+
+    def run(
+        self,
+        name: str,
+        seed: int = 1,
+        nodes: int | None = None,
+        duration_s: float | None = None,
+        faults: str | None = None,
+        json: bool = False,
+        record: bool = False,
+    ) -> None:
+        """Run an experiment; --record keeps its result."""
+        experiment = EXPERIMENTS.get(str(name))
+        if experiment is None:
+            known = ", ".join(EXPERIMENTS)
+            raise OptionsError(f"there is no experiment {name!r}; known: {known}")
+        options = build_options(
+            seed,
+            experiment.nodes if nodes is None else nodes,
+            experiment.duration_s if duration_s is None else duration_s,
+            faults,
+        )
+        result = describe_run(experiment.name, options, experiment.measure(options))
+        line = msgspec.json.encode(result).decode()
+        if record:
+            with (RESULTS / f"{experiment.name}.jsonl").open("a") as results:
+                results.write(line + "\n")
+        print(line if json else _render(result))
+
+    def demo(self) -> None:
+        """Show the main job on this machine."""
+        from bench.demo import run_demo
+
+        sys.exit(run_demo())
+
+
+def _render(result: dict[str, Any]) -> str:
+    width = max(len(name) for name in result)
+    return "\n".join(f"{name:{width}}  {value}" for name, value in result.items())
+
+
+if __name__ == "__main__":
+    try:
+        fire.Fire(Commands, name="bench")
+    except OptionsError as error:
+        print(f"bench: {error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_ARGUMENTS)
--- /dev/null
+++ b/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments of the measuring contract."""
--- /dev/null
+++ b/bench/experiments/latency.py
@@ -0,0 +1,107 @@
+"""Measure the time that nodes add to a call, against direct calls in one run."""
+
+from __future__ import annotations
+
+import statistics
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from bench.caller import Router
+from bench.experiments.paths import build_call, start_paths
+from bench.fleet import Fleet, FleetError
+from bench.options import Options
+from bench.progress import show_progress
+
+CALLS_PER_ROUND = 1000
+WARMUP_CALLS = 500
+PACED_RATE = 100.0  # calls a second, near the future rate of one entry node
+PACED_CALLS_PER_ROUND = 200
+PACED_SHARE = 0.5  # of the duration
+MS_PER_S = 1000.0
+TARGET_MS = 0.32
+PATHS = ("direct", "one_node", "two_nodes")
+
+
+@dataclass(slots=True, frozen=True)
+class Quantiles:
+    """Hold quantiles of one round, in milliseconds."""
+
+    p50: float
+    p90: float
+    p99: float
+
+
+def measure_latency(options: Options) -> dict[str, Any]:
+    """Return quantiles of each path and what the nodes add."""
+    with Fleet() as fleet:
+        addresses = start_paths(fleet)
+        routers = {name: Router(getattr(addresses, name)) for name in PATHS}
+        request = build_call()
+        for router in routers.values():
+            _time_calls(router, request, WARMUP_CALLS, 0.0)
+        closed_until = time.monotonic() + options.duration_s * (1 - PACED_SHARE)
+        closed = _measure_rounds(routers, request, closed_until, CALLS_PER_ROUND, 0.0)
+        paced_until = time.monotonic() + options.duration_s * PACED_SHARE
+        paced = _measure_rounds(
+            routers, request, paced_until, PACED_CALLS_PER_ROUND, PACED_RATE
+        )
+        for router in routers.values():
+            router.close()
+    return {
+        **_summarize(closed, ""),
+        **_summarize(paced, "paced_"),
+        "rounds": len(closed),
+        "target_added_p99_ms": TARGET_MS,
+    }
+
+
+Round = dict[str, Quantiles]
+
+
+def _measure_rounds(
+    routers: dict[str, Router], request: bytes, until: float, calls: int, rate: float
+) -> list[Round]:
+    rounds: list[Round] = []
+    while time.monotonic() < until or not rounds:
+        measured = {
+            name: _time_calls(router, request, calls, rate)
+            for name, router in routers.items()
+        }
+        rounds.append(measured)
+        show_progress(f"round {len(rounds)}: {measured['two_nodes']}")
+    return rounds
+
+
+def _time_calls(router: Router, request: bytes, calls: int, rate: float) -> Quantiles:
+    times = []
+    due = time.perf_counter()
+    for _ in range(calls):
+        if rate:
+            due += 1.0 / rate
+            time.sleep(max(0.0, due - time.perf_counter()))
+        begun = time.perf_counter()
+        answer = router.call(request)
+        times.append((time.perf_counter() - begun) * MS_PER_S)
+        if answer.status != 200:
+            raise FleetError(f"a call was answered by {answer.status}: {answer.body!r}")
+    points = statistics.quantiles(times, n=100, method="inclusive")
+    return Quantiles(points[49], points[89], points[98])
+
+
+def _summarize(rounds: list[Round], prefix: str) -> dict[str, Any]:
+    figures: dict[str, Any] = {}
+    for path in PATHS:
+        for quantile in ("p50", "p90", "p99"):
+            values = [getattr(each[path], quantile) for each in rounds]
+            name = f"{prefix}{path}_{quantile}_ms"
+            figures[name] = round(statistics.median(values), 4)
+    for path, label in (("one_node", "one_node_"), ("two_nodes", "")):
+        for quantile in ("p50", "p99"):
+            added = [
+                getattr(each[path], quantile) - getattr(each["direct"], quantile)
+                for each in rounds
+            ]
+            name = f"{prefix}{label}added_{quantile}_ms"
+            figures[name] = round(statistics.median(added), 4)
+    return figures
--- /dev/null
+++ b/bench/experiments/registry.py
@@ -0,0 +1,51 @@
+"""The experiments by name."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from bench.experiments.convergence import measure_convergence
+from bench.experiments.latency import measure_latency
+from bench.experiments.throughput import measure_throughput
+from bench.options import Options
+
+
+@dataclass(slots=True, frozen=True)
+class Experiment:
+    """Describe an experiment."""
+
+    name: str
+    summary: str
+    measure: Callable[[Options], dict[str, Any]]
+    nodes: int
+    duration_s: float
+
+
+EXPERIMENTS = {
+    experiment.name: experiment
+    for experiment in (
+        Experiment(
+            "latency",
+            "time that one node and two nodes add to a call",
+            measure_latency,
+            2,
+            24.0,
+        ),
+        Experiment(
+            "throughput",
+            "calls a second and processor time a call at 1, 2 and 4 callers",
+            measure_throughput,
+            2,
+            12.0,
+        ),
+        Experiment(
+            "convergence",
+            "time until an accepted version is in force everywhere",
+            measure_convergence,
+            10,
+            25.0,
+        ),
+    )
+}
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -59,6 +59,9 @@
     nodes: list[NodeHandle] = field(default_factory=list)
     backends: list[BackendHandle] = field(default_factory=list)
     store_address: str = ""
+    probe_path: str = "/"
+    probe_token: str = ""
+    proxy_address: str = ""
     store_process: subprocess.Popen[bytes] | None = None
     http: urllib3.PoolManager = field(
         default_factory=lambda: urllib3.PoolManager(retries=False, maxsize=8)
@@ -108,10 +111,51 @@
         self.wait_for(lambda: self.get_json(self.store_address, "/observed"), "store")
         return self.store_address
 
+    def start_proxy(self) -> None:
+        """Start the proxy; nodes added after this are reached through it."""
+        port = self.reserve_port()
+        self.start_process("proxy", "-m", "bench.proxy", f"--port={port}")
+        address = f"127.0.0.1:{port}"
+        self.wait_for(lambda: self.get_json(address, "/observed") is not None, "proxy")
+        self.proxy_address = address
+
+    def add_link(self, name: str, target: str, label: str) -> str:
+        """Return the address of a new link through the proxy."""
+        port = self.reserve_port()
+        body = {"name": name, "port": port, "target": target, "label": label}
+        self.post_json(self.proxy_address, "/links", body)
+        return f"127.0.0.1:{port}"
+
+    def set_rule(self, source: str, target: str, action: str) -> None:
+        """Cut, silence or pass the connections between two labels."""
+        body = {"source": source, "target": target, "action": action}
+        self.post_json(self.proxy_address, "/rules", body)
+
+    def label_processes(self) -> None:
+        """Tell the proxy which process belongs to which zone."""
+        if not self.proxy_address:
+            return
+        pids = {
+            str(node.process.pid): node.zone
+            for node in self.nodes
+            if node.process is not None
+        }
+        self.post_json(self.proxy_address, "/labels", {"pids": pids})
+
     def add_node(self, name: str, zone: str, **settings: Any) -> NodeHandle:
         """Describe a node; ``start_node`` starts it."""
         entry, guard, peer, operator = (self.reserve_address() for _ in range(4))
         path = self.directory / f"{name}.json"
+        store = self.store_address
+        if self.proxy_address:
+            settings = {
+                "guard_bind_address": guard,
+                "peer_bind_address": peer,
+                **settings,
+            }
+            guard = self.add_link(f"{name}-guard", guard, zone)
+            peer = self.add_link(f"{name}-peer", peer, zone)
+            store = self.add_link(f"{name}-store", store, "store")
         document = {
             "node": name,
             "region": REGION,
@@ -120,12 +164,10 @@
             "guard_address": guard,
             "peer_address": peer,
             "operator_address": operator,
-            "store_endpoints": [f"http://{self.store_address}"],
+            "store_endpoints": [f"http://{store}"],
             **settings,
         }
         path.write_text(json.dumps(document))
-        peer = document["peer_address"]
-        guard = document["guard_address"]
         node = NodeHandle(name, zone, entry, guard, peer, operator, path)
         self.nodes.append(node)
         return node
--- /dev/null
+++ b/bench/options.py
@@ -0,0 +1,66 @@
+"""Options and results of experiments."""
+
+from __future__ import annotations
+
+import subprocess
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from bench.faults import Fault, read_faults
+
+
+class OptionsError(Exception):
+    """Report bad arguments."""
+
+
+@dataclass(slots=True, frozen=True)
+class Options:
+    """Hold what an experiment was asked for."""
+
+    seed: int
+    nodes: int
+    duration_s: float
+    faults: tuple[Fault, ...]
+
+
+def build_options(
+    seed: int, nodes: int, duration_s: float, faults: str | None
+) -> Options:
+    """Check options; raise OptionsError."""
+    for name, value in (("seed", seed), ("nodes", nodes)):
+        if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+            raise OptionsError(f"--{name} must be a whole number, not {value!r}")
+    if not 1 <= nodes <= 200:
+        raise OptionsError(f"--nodes must be 1 to 200, not {nodes}")
+    if not isinstance(duration_s, int | float) or not 0 < duration_s <= 3600:
+        raise OptionsError(f"--duration-s must be 0 to 3600, not {duration_s!r}")
+    schedule: tuple[Fault, ...] = ()
+    if faults is not None:
+        try:
+            schedule = read_faults(Path(str(faults)))
+        except (OSError, msgspec.DecodeError, ValueError) as error:
+            raise OptionsError(f"--faults {faults}: {error}") from error
+    return Options(seed, nodes, float(duration_s), schedule)
+
+
+def describe_run(experiment: str, options: Options, figures: dict[str, Any]) -> Any:
+    """Return the object that a run yields."""
+    return {
+        "experiment": experiment,
+        "seed": options.seed,
+        "nodes": options.nodes,
+        "duration_s": options.duration_s,
+        "commit": find_commit(),
+        **figures,
+    }
+
+
+def find_commit() -> str:
+    """Return the commit of the tree, with a plus when it has been changed."""
+    root = Path(__file__).parent
+    words = ("git", "-C", str(root), "describe", "--always", "--dirty=+", "--abbrev=10")
+    result = subprocess.run(words, capture_output=True, text=True, check=False)
+    return result.stdout.strip() or "unknown"
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,38 @@
+"""Read what the operating system accounts to a process."""
+
+from __future__ import annotations
+
+import os
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+KB_PER_MB = 1024.0
+
+
+def read_cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    with open(f"/proc/{pid}/stat") as stat:
+        cells = stat.read().rpartition(")")[2].split()
+    return (int(cells[11]) + int(cells[12])) / _TICKS_PER_S
+
+
+def read_rss_mb(pid: int) -> float:
+    """Return the resident memory of a process, in MB."""
+    return _read_status(pid, "VmRSS:") / KB_PER_MB
+
+
+def read_peak_rss_mb(pid: int) -> float:
+    """Return the largest resident memory of a process so far, in MB."""
+    return _read_status(pid, "VmHWM:") / KB_PER_MB
+
+
+def read_threads(pid: int) -> int:
+    """Return how many threads a process has."""
+    return int(_read_status(pid, "Threads:"))
+
+
+def _read_status(pid: int, name: str) -> float:
+    with open(f"/proc/{pid}/status") as status:
+        for line in status:
+            if line.startswith(name):
+                return float(line.split()[1])
+    raise ValueError(f"process {pid} has no {name}")
--- /dev/null
+++ b/bench/progress.py
@@ -0,0 +1,10 @@
+"""Show progress on standard error."""
+
+from __future__ import annotations
+
+import sys
+
+
+def show_progress(text: str) -> None:
+    """Write a line of progress."""
+    print(text, file=sys.stderr, flush=True)
--- /dev/null
+++ b/bench/proxy.py
@@ -0,0 +1,266 @@
+"""Fault-injecting TCP proxy.
+
+One process holds many links. Each link listens on a port and passes bytes to a
+target. A connection is known by the label of the process that opened it, so that
+a rule can cut or silence one zone's traffic to a link and leave the rest.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+from collections import Counter
+from dataclasses import dataclass, field
+
+import fire
+import msgspec
+from aiohttp import web
+
+PART_BYTES = 65_536
+ANY = "*"
+
+
+class LinkBody(msgspec.Struct):
+    """Ask for a link."""
+
+    name: str
+    port: int
+    target: str
+    label: str = ""  # of the process behind the target
+
+
+class LabelBody(msgspec.Struct):
+    """Give the processes of a group a label."""
+
+    pids: dict[str, str]  # pid to label
+
+
+class RuleBody(msgspec.Struct):
+    """Set what happens to connections between two labels."""
+
+    source: str  # a label, or ANY
+    target: str  # a label or a link's name, or ANY
+    action: str  # pass, cut, silence (new ones too) or silence-established
+
+
+@dataclass(slots=True)
+class Link:
+    """Hold one listening port."""
+
+    name: str
+    target: str
+    label: str
+    bytes_in: int = 0  # towards the target
+    bytes_out: int = 0
+    connections: int = 0
+    server: asyncio.Server | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Passage:
+    """Hold one connection through a link."""
+
+    link: Link
+    source: str
+    writers: list[asyncio.StreamWriter]
+    open_gate: asyncio.Event = field(default_factory=asyncio.Event)
+    silenced_for_good: bool = False
+
+
+class Proxy:
+    """Pass bytes, subject to rules."""
+
+    def __init__(self) -> None:
+        self.links: dict[str, Link] = {}
+        self.labels: dict[int, str] = {}
+        self.rules: dict[tuple[str, str], str] = {}
+        self.passages: set[Passage] = set()
+
+    def build_application(self) -> web.Application:
+        """Return the application that controls the proxy."""
+        application = web.Application()
+        application.add_routes(
+            [
+                web.post("/links", self.add_link),
+                web.post("/labels", self.set_labels),
+                web.post("/rules", self.set_rule),
+                web.get("/observed", self.observe),
+            ]
+        )
+        return application
+
+    async def add_link(self, request: web.Request) -> web.Response:
+        """Open a link."""
+        body = msgspec.json.decode(await request.read(), type=LinkBody)
+        link = Link(body.name, body.target, body.label)
+        link.server = await asyncio.start_server(
+            lambda reader, writer: self.pass_connection(link, reader, writer),
+            "127.0.0.1",
+            body.port,
+            backlog=1024,
+        )
+        self.links[body.name] = link
+        return web.json_response({})
+
+    async def set_labels(self, request: web.Request) -> web.Response:
+        """Label processes."""
+        body = msgspec.json.decode(await request.read(), type=LabelBody)
+        self.labels.update({int(pid): label for pid, label in body.pids.items()})
+        return web.json_response({})
+
+    async def set_rule(self, request: web.Request) -> web.Response:
+        """Change a rule and apply it to open connections."""
+        body = msgspec.json.decode(await request.read(), type=RuleBody)
+        key = (body.source, body.target)
+        if body.action == "silence-established":
+            self.silence_established(key)
+            return web.json_response({})
+        if body.action == "pass":
+            self.rules.pop(key, None)
+        else:
+            self.rules[key] = body.action
+        for passage in list(self.passages):
+            self.apply_rules(passage)
+        return web.json_response({})
+
+    async def observe(self, request: web.Request) -> web.Response:
+        """Return the bytes and connections of each link."""
+        links = {
+            name: {
+                "in": link.bytes_in,
+                "out": link.bytes_out,
+                "connections": link.connections,
+            }
+            for name, link in self.links.items()
+        }
+        return web.json_response(links)
+
+    async def pass_connection(
+        self, link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Pass one connection until either end closes."""
+        source = self.find_source(writer)
+        passage = Passage(link, source, [writer])
+        link.connections += 1
+        self.passages.add(passage)
+        try:
+            self.apply_rules(passage)
+            await passage.open_gate.wait()
+            host, _, port = link.target.rpartition(":")
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            passage.writers.append(far_writer)
+            await asyncio.gather(
+                self.pump(passage, reader, far_writer, towards_target=True),
+                self.pump(passage, far_reader, writer, towards_target=False),
+            )
+        except OSError:
+            pass
+        finally:
+            self.passages.discard(passage)
+            for each in passage.writers:
+                each.close()
+
+    async def pump(
+        self,
+        passage: Passage,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        towards_target: bool,
+    ) -> None:
+        """Pass bytes in one direction."""
+        while data := await reader.read(PART_BYTES):
+            await passage.open_gate.wait()
+            if towards_target:
+                passage.link.bytes_in += len(data)
+            else:
+                passage.link.bytes_out += len(data)
+            writer.write(data)
+            await writer.drain()
+        await passage.open_gate.wait()
+        with contextlib.suppress(OSError):
+            writer.write_eof()
+
+    def apply_rules(self, passage: Passage) -> None:
+        """Pass, cut or silence a connection as the rules say now."""
+        if passage.silenced_for_good:
+            return
+        action = self.find_action(passage)
+        if action == "cut":
+            for writer in passage.writers:
+                writer.transport.abort()
+        elif action == "silence":
+            passage.open_gate.clear()
+        else:
+            passage.open_gate.set()
+
+    def silence_established(self, key: tuple[str, str]) -> None:
+        """Silence the connections that are open now, for good."""
+        for passage in self.passages:
+            if _matches(passage, key):
+                passage.silenced_for_good = True
+                passage.open_gate.clear()
+
+    def find_action(self, passage: Passage) -> str:
+        """Return what the rules say of a connection."""
+        for key, action in self.rules.items():
+            if _matches(passage, key):
+                return action
+        return "pass"
+
+    def find_source(self, writer: asyncio.StreamWriter) -> str:
+        """Return the label of the process that opened a connection."""
+        port = writer.get_extra_info("peername")[1]
+        inode = _find_inode(port)
+        for pid, label in self.labels.items():
+            if inode and _owns_inode(pid, inode):
+                return label
+        return ""
+
+
+def _matches(passage: Passage, key: tuple[str, str]) -> bool:
+    source, target = key
+    link = passage.link
+    return source in (ANY, passage.source) and target in (ANY, link.label, link.name)
+
+
+def _find_inode(port: int) -> str:
+    """Return the inode of the loopback socket that is bound to a port."""
+    wanted = f"0100007F:{port:04X}"
+    with open("/proc/net/tcp") as table:
+        for line in table:
+            cells = line.split()
+            if cells[1] == wanted:
+                return cells[9]
+    return ""
+
+
+def _owns_inode(pid: int, inode: str) -> bool:
+    wanted = f"socket:[{inode}]"
+    try:
+        descriptors = os.listdir(f"/proc/{pid}/fd")
+    except OSError:
+        return False
+    for descriptor in descriptors:
+        with contextlib.suppress(OSError):
+            if os.readlink(f"/proc/{pid}/fd/{descriptor}") == wanted:
+                return True
+    return False
+
+
+def run(port: int) -> None:
+    """Serve until told to stop."""
+    application = Proxy().build_application()
+    web.run_app(application, host="127.0.0.1", port=port, print=None, access_log=None)
+
+
+def count_bytes(observed: dict[str, dict[str, int]], names: list[str]) -> int:
+    """Return the bytes that links passed in both directions."""
+    counts: Counter[str] = Counter()
+    for name in names:
+        counts.update(observed[name])
+    return counts["in"] + counts["out"]
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
