--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -16,11 +16,10 @@
     LAST_CHUNK,
     AnswerHead,
     Framing,
-    Headers,
     RequestHead,
     encode_chunk,
+    encode_line,
     encode_request,
-    select_end_to_end,
 )
 from monsoontray.forwarding.parsing import is_framed
 from monsoontray.forwarding.refusals import CALL_ID_HEADER, read_refusal
@@ -44,6 +43,7 @@
     __slots__ = (
         "_body_kept",
         "_hop",
+        "_id_line",
         "_kept",
         "_kept_bytes",
         "_refusal",
@@ -88,6 +88,7 @@
         self.request_ended = False
         self.answer_started = False
         self.last_reason = Reason.NO_SERVER
+        self._id_line = encode_line(CALL_ID_HEADER, call_id.encode("latin-1"))
         self._refusal: Refusal | None = None  # stated by the guard, still arriving
         self._hop: Hop | None = None
         self._kept: list[bytes] = []
@@ -122,18 +123,20 @@
         assert hop is not None
         self._sent = True
         remaining_ms = max(1, int((self.deadline - self.forwarder.clock.now()) * 1000))
-        headers = select_end_to_end(head.headers)
-        headers += hop.headers
-        headers.append((CALL_ID_HEADER, self.call_id.encode("latin-1")))
-        headers.append((b"monsoontray-timeout-ms", b"%d" % remaining_ms))
+        lines = [
+            *head.lines,
+            *hop.lines,
+            self._id_line,
+            b"monsoontray-timeout-ms: %d\r\n" % remaining_ms,
+        ]
         upstream.write(
-            encode_request(head.method, head.target, headers, head.framing, head.length)
+            encode_request(head.method, head.target, lines, head.framing, head.length)
         )
         for part in self._kept:
             self._write_body(part)
         if self.request_ended and head.framing is Framing.CHUNKED:
             upstream.write(LAST_CHUNK)
-        if not self.request_ended and head.find(b"expect"):
+        if not self.request_ended and head.expects_continue:
             self.caller.ask_to_continue()
         self.caller.resume_reading()
 
@@ -183,9 +186,8 @@
             self.fail_attempt(Reason.BAD_ANSWER)
             return
         self.answer_started = True
-        headers: Headers = select_end_to_end(head.headers)
-        headers.append((CALL_ID_HEADER, self.call_id.encode("latin-1")))
-        self.caller.begin_answer(head, headers, self.head.method)
+        head.lines.append(self._id_line)
+        self.caller.begin_answer(head, head.lines)
 
     def on_answer_body(self, part: bytes) -> None:
         """Pass on a part of the answer."""
@@ -252,8 +254,8 @@
 
     def _is_own_answer(self, head: AnswerHead) -> bool:
         """Say whether an answer that names its call names this one."""
-        call_id = head.find(CALL_ID_HEADER)
-        return not call_id or call_id.decode("latin-1") == self.call_id
+        call_id = head.own.get(CALL_ID_HEADER)
+        return call_id is None or call_id.decode("latin-1") == self.call_id
 
     def _follow_refusal(self, refusal: Refusal) -> None:
         self._refusal = None
--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -11,12 +11,12 @@
 from monsoontray.decisions.outcomes import Reason, Refusal, refuse_unrun
 from monsoontray.forwarding.connection import Connection
 from monsoontray.forwarding.heads import (
+    CLOSE_LINE,
     CONTINUE,
     LAST_CHUNK,
     AnswerHead,
     EndOfMessage,
     Framing,
-    Headers,
     RequestHead,
     encode_answer,
     encode_chunk,
@@ -150,15 +150,15 @@
         """Tell a caller that waits for it to send the body."""
         self.write(CONTINUE)
 
-    def begin_answer(self, head: AnswerHead, headers: Headers, method: str) -> None:
+    def begin_answer(self, head: AnswerHead, lines: list[bytes]) -> None:
         """Send the head of an answer."""
         if self.forwarder.stopping or self._request_open:
             self._answer_closes = True
         if self._answer_closes:
-            headers.append((b"connection", b"close"))
+            lines.append(CLOSE_LINE)
         self._answer_chunked = head.framing is Framing.CHUNKED
         framing = head.framing
-        self.write(encode_answer(head.status, headers, framing, head.length))
+        self.write(encode_answer(head.status, lines, framing, head.length))
 
     def write_answer_body(self, part: bytes) -> None:
         """Send a part of the answer's body."""
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -220,14 +220,14 @@
         ).debug("call refused {}", detail)
 
     def _find_call_id(self, head: RequestHead) -> str:
-        given = head.find(CALL_ID_HEADER)
+        given = head.own.get(CALL_ID_HEADER)
         if given and len(given) <= MAX_CALL_ID_LENGTH:
             return given.decode("latin-1")
         self._call_count += 1
         return f"{self.place.node}-{self._call_count:x}"
 
     def _find_timeout(self, head: RequestHead) -> float:
-        given = head.find(TIMEOUT_HEADER)
+        given = head.own.get(TIMEOUT_HEADER, b"")
         if given.isdigit() and len(given) <= len(str(MAX_TIMEOUT_MS)):
             return min(int(given), MAX_TIMEOUT_MS) / 1000
         return self.limits.call_s
--- a/monsoontray/forwarding/framing.py
+++ b/monsoontray/forwarding/framing.py
@@ -2,38 +2,93 @@
 
 from __future__ import annotations
 
-import re
-
 from monsoontray.decisions.outcomes import Reason
 from monsoontray.forwarding.errors import MalformedMessageError
-from monsoontray.forwarding.heads import Framing, Headers
+from monsoontray.forwarding.heads import OWN_PREFIX, Framing, Headers, encode_line
 
-_LENGTH = re.compile(rb"[0-9]{1,15}")
-_CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
-_TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9a-z-]+")
+MAX_LENGTH_DIGITS = 15
 _VERSIONS = ("1.0", "1.1")
-
-
-def check_headers(headers: Headers) -> None:
-    """Refuse names and values with characters that HTTP does not allow."""
-    if _CONTROL.search(b"".join([value for _, value in headers])):
-        raise _refuse("a header value holds a control character")
-    for name, _ in headers:
-        if not _TOKEN.fullmatch(name):
-            raise _refuse(f"header name {name!r} is not a token")
-
-
-def find_request_framing(headers: Headers, version: str) -> tuple[Framing, int]:
+_NAMED_BY_CONNECTION = (b"keep-alive", b"close")
+#: Headers that concern one connection only or how the message is framed.
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+        b"host",
+    )
+)
+
+
+class HeaderCollector:
+    """Sort the headers of one message as the parser reads them."""
+
+    __slots__ = ("hop", "lines", "own")
+
+    def __init__(self) -> None:
+        self.begin_headers()
+
+    def begin_headers(self) -> None:
+        """Prepare for the next message."""
+        self.hop: Headers = []
+        self.lines: list[bytes] = []
+        self.own: dict[bytes, bytes] = {}
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; the parser has checked its characters."""
+        name = name.lower()
+        if name in HOP_HEADERS:
+            self.hop.append((name, value))
+        elif name.startswith(OWN_PREFIX):
+            self.own[name] = value
+        else:
+            self.lines.append(b"%b: %b\r\n" % (name, value))
+
+    def count_headers(self) -> int:
+        """Return how many headers were taken."""
+        return len(self.hop) + len(self.lines) + len(self.own)
+
+    def measure_headers(self) -> int:
+        """Return how many bytes the headers take, about."""
+        own = sum(len(name) + len(value) for name, value in self.own.items())
+        return sum(map(len, self.lines)) + own
+
+    def drop_named_by_connection(self) -> None:
+        """Drop the headers that the Connection header makes hop-by-hop."""
+        for name, value in self.hop:
+            if name == b"connection" and value.lower() not in _NAMED_BY_CONNECTION:
+                tokens = (token.strip().lower() for token in value.split(b","))
+                starts = tuple(token + b": " for token in tokens if token)
+                self.lines = [
+                    line for line in self.lines if not line.startswith(starts)
+                ]
+
+
+def find_request_framing(
+    collected: HeaderCollector, version: str
+) -> tuple[Framing, int]:
     """Return the framing of a request and its length in bytes."""
     if version not in _VERSIONS:
         raise _refuse(f"HTTP version {version} is not served")
-    hosts = _find_all(headers, b"host")
+    hosts = _find_all(collected.hop, b"host")
     if len(hosts) > 1 or (version == "1.1" and not hosts):
         raise _refuse("the Host header must appear once")
-    if _find_all(headers, b"upgrade"):
+    if hosts:
+        collected.lines.append(encode_line(b"host", hosts[0]))
+    if len(collected.hop) == len(hosts):
+        return Framing.EMPTY, 0
+    if _find_all(collected.hop, b"upgrade"):
         raise MalformedMessageError(Reason.UNSUPPORTED, "upgrades are not served")
-    codings = _find_all(headers, b"transfer-encoding")
-    lengths = _find_all(headers, b"content-length")
+    codings = _find_all(collected.hop, b"transfer-encoding")
+    lengths = _find_all(collected.hop, b"content-length")
     if codings:
         if version == "1.0":
             raise _refuse("HTTP/1.0 has no transfer codings")
@@ -45,11 +100,11 @@
 
 
 def find_answer_framing(
-    headers: Headers, status: int, method: str
+    collected: HeaderCollector, status: int, method: str
 ) -> tuple[Framing, int]:
     """Return the framing of an answer and its length in bytes."""
-    codings = _find_all(headers, b"transfer-encoding")
-    lengths = _find_all(headers, b"content-length")
+    codings = _find_all(collected.hop, b"transfer-encoding")
+    lengths = _find_all(collected.hop, b"content-length")
     if codings:
         _check_codings(codings, lengths)
         if status in (204, 304) or method == "HEAD":
@@ -64,6 +119,12 @@
     return Framing.UNTIL_CLOSE, 0
 
 
+def find_expectation(collected: HeaderCollector) -> bool:
+    """Say whether the caller waits to be asked for the body."""
+    expectations = _find_all(collected.hop, b"expect")
+    return any(value.lower() == b"100-continue" for value in expectations)
+
+
 def _check_codings(codings: list[bytes], lengths: list[bytes]) -> None:
     if lengths:
         raise _refuse("Transfer-Encoding and Content-Length exclude each other")
@@ -74,8 +135,8 @@
 def _read_length(lengths: list[bytes]) -> int:
     if len(lengths) > 1:
         raise _refuse("Content-Length appears twice")
-    if not _LENGTH.fullmatch(lengths[0]):
-        raise _refuse(f"Content-Length {lengths[0]!r} is not a number")
+    if not lengths[0].isdigit() or len(lengths[0]) > MAX_LENGTH_DIGITS:
+        raise _refuse(f"Content-Length {lengths[0]!r} is not a number in range")
     return int(lengths[0])
 
 
--- a/monsoontray/forwarding/heads.py
+++ b/monsoontray/forwarding/heads.py
@@ -24,14 +24,13 @@
 
     method: str
     target: bytes
-    headers: Headers
+    lines: list[bytes]  # end-to-end headers, each as a line
+    own: dict[bytes, bytes]  # headers of monsoontray itself
+    authorization: bytes
     framing: Framing
     length: int
     keep_alive: bool
-
-    def find(self, name: bytes) -> bytes:
-        """Return the value of a header, or nothing."""
-        return find_header(self.headers, name)
+    expects_continue: bool
 
 
 @dataclass(slots=True)
@@ -39,15 +38,12 @@
     """Hold the head of an answer."""
 
     status: int
-    headers: Headers
+    lines: list[bytes]  # end-to-end headers, each as a line
+    own: dict[bytes, bytes]  # headers of monsoontray itself
     framing: Framing
     length: int
     keep_alive: bool
 
-    def find(self, name: bytes) -> bytes:
-        """Return the value of a header, or nothing."""
-        return find_header(self.headers, name)
-
 
 @dataclass(slots=True, frozen=True)
 class EndOfMessage:
@@ -58,69 +54,38 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+CLOSE_LINE = b"connection: close\r\n"
+OWN_PREFIX = b"monsoontray-"
 
-_HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    )
-)
-_OWN_PREFIX = b"monsoontray-"
-
+_END_OF_HEAD = {
+    Framing.EMPTY: b"\r\n",
+    Framing.CHUNKED: b"transfer-encoding: chunked\r\n\r\n",
+}
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
     for status in HTTPStatus
 }
 
 
-def find_header(headers: Headers, name: bytes) -> bytes:
-    """Return the value of a header, or nothing."""
-    for each, value in headers:
-        if each == name:
-            return value
-    return b""
-
-
-def select_end_to_end(headers: Headers) -> Headers:
-    """Return the headers that pass through: not hop-by-hop and not our own."""
-    named = _HOP_BY_HOP
-    connection = find_header(headers, b"connection")
-    if connection and connection.lower() not in (b"keep-alive", b"close"):
-        tokens = (token.strip().lower() for token in connection.split(b","))
-        named = named.union(tokens) - {b"host"}
-    return [
-        header
-        for header in headers
-        if header[0] not in named and not header[0].startswith(_OWN_PREFIX)
-    ]
+def encode_line(name: bytes, value: bytes) -> bytes:
+    """Return a header as a line."""
+    return b"%b: %b\r\n" % (name, value)
 
 
 def encode_request(
-    method: str, target: bytes, headers: Headers, framing: Framing, length: int
+    method: str, target: bytes, lines: list[bytes], framing: Framing, length: int
 ) -> bytes:
     """Return the bytes of a request's head."""
-    lines = [method.encode(), b" ", target, b" HTTP/1.1\r\n"]
-    _append_headers(lines, headers, framing, length)
-    return b"".join(lines)
+    start = b"%b %b HTTP/1.1\r\n" % (method.encode(), target)
+    return b"".join((start, *lines, _encode_end(framing, length)))
 
 
 def encode_answer(
-    status: int, headers: Headers, framing: Framing, length: int
+    status: int, lines: list[bytes], framing: Framing, length: int
 ) -> bytes:
     """Return the bytes of an answer's head."""
-    line = _STATUS_LINES.get(status) or f"HTTP/1.1 {status} Other\r\n".encode()
-    lines = [line]
-    _append_headers(lines, headers, framing, length)
-    return b"".join(lines)
+    start = _STATUS_LINES.get(status) or f"HTTP/1.1 {status} Other\r\n".encode()
+    return b"".join((start, *lines, _encode_end(framing, length)))
 
 
 def encode_chunk(data: bytes) -> bytes:
@@ -128,14 +93,7 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-def _append_headers(
-    lines: list[bytes], headers: Headers, framing: Framing, length: int
-) -> None:
-    for name, value in headers:
-        lines += (name, b": ", value, b"\r\n")
+def _encode_end(framing: Framing, length: int) -> bytes:
     if framing is Framing.LENGTH:
-        lines.append(b"content-length: %d\r\n\r\n" % length)
-    elif framing is Framing.CHUNKED:
-        lines.append(b"transfer-encoding: chunked\r\n\r\n")
-    else:
-        lines.append(b"\r\n")
+        return b"content-length: %d\r\n\r\n" % length
+    return _END_OF_HEAD[framing]
--- a/monsoontray/forwarding/listener.py
+++ b/monsoontray/forwarding/listener.py
@@ -98,17 +98,17 @@
 def _(
     side: GuardSide, head: RequestHead, forwarder: Forwarder
 ) -> EntryRoute | GuardRoute | Refusal:
-    server = head.find(SERVER_HEADER).decode("latin-1")
+    server = head.own.get(SERVER_HEADER, b"").decode("latin-1")
     if server not in forwarder.guards:
         return refuse_unrun(Reason.NO_SERVER)
-    customer = head.find(CUSTOMER_HEADER).decode("latin-1")
-    priority = head.find(PRIORITY_HEADER)
+    customer = head.own.get(CUSTOMER_HEADER, b"").decode("latin-1")
+    priority = head.own.get(PRIORITY_HEADER, b"")
     rank = int(priority) if priority.isdigit() else LEAST_PRIORITY
     return GuardRoute(server, customer, rank)
 
 
 def _find_token(head: RequestHead) -> bytes:
-    credentials = head.find(b"authorization")
+    credentials = head.authorization
     if not credentials.startswith(_BEARER):
         return b""
     return credentials[len(_BEARER) :]
--- a/monsoontray/forwarding/parsing.py
+++ b/monsoontray/forwarding/parsing.py
@@ -9,8 +9,9 @@
 from monsoontray.decisions.outcomes import Reason
 from monsoontray.forwarding.errors import MalformedMessageError
 from monsoontray.forwarding.framing import (
-    check_headers,
+    HeaderCollector,
     find_answer_framing,
+    find_expectation,
     find_request_framing,
 )
 from monsoontray.forwarding.heads import (
@@ -18,10 +19,12 @@
     AnswerHead,
     EndOfMessage,
     Framing,
-    Headers,
     RequestHead,
 )
 
+_AUTHORIZATION_START = b"authorization: "
+_END_OF_LINE_BYTES = 2
+
 
 @dataclass(slots=True, frozen=True)
 class Malformed:
@@ -43,34 +46,34 @@
 AnswerEvent = AnswerHead | bytes | EndOfMessage | Malformed
 
 
-class RequestParser:
+class RequestParser(HeaderCollector):
     """Parse the requests of one connection."""
 
     __slots__ = (
         "_events",
-        "_head_done",
-        "_headers",
+        "_fed",
         "_limits",
+        "_open_head",
         "_parser",
-        "_size",
         "_target",
         "_unread",
     )
 
     def __init__(self, limits: HeadLimits) -> None:
+        super().__init__()
         self._limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._events: list[RequestEvent] = []
-        self._headers: Headers = []
         self._target = b""
-        self._size = 0
-        self._head_done = False
-        self._unread = 0  # bytes since the last event
+        self._open_head = False
+        self._fed = 0  # bytes being read now
+        self._unread = 0  # bytes read before, since the last event
 
     def feed(self, data: bytes) -> list[RequestEvent]:
         """Return the events that the bytes complete."""
         events: list[RequestEvent] = []
         self._events = events
+        self._fed = len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -85,44 +88,43 @@
 
     def has_open_head(self) -> bool:
         """Say whether part of a head has been received."""
-        return not self._head_done and self._size > 0
+        return self._open_head
 
     def on_message_begin(self) -> None:
         """Prepare for the next message."""
-        self._headers = []
+        self.begin_headers()
         self._target = b""
-        self._size = 1
-        self._head_done = False
+        self._open_head = True
 
     def on_url(self, part: bytes) -> None:
         """Collect the request target."""
         self._target += part
-        self._count(len(part))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header; trailers are dropped."""
-        if self._head_done:
-            return
-        self._headers.append((name.lower(), value))
-        self._count(len(name) + len(value))
-        if len(self._headers) > self._limits.header_count:
-            raise MalformedMessageError(Reason.HEAD_TOO_LARGE, "too many headers")
+        if len(self._target) > self._limits.head_bytes:
+            raise MalformedMessageError(Reason.HEAD_TOO_LARGE, "the target is too long")
 
     def on_headers_complete(self) -> None:
         """Emit the head."""
-        self._head_done = True
-        check_headers(self._headers)
-        version = self._parser.get_http_version()
-        framing, length = find_request_framing(self._headers, version)
-        method = self._parser.get_method().decode("latin-1")
+        self._open_head = False
+        _check_limits(self, self._limits, self._unread + self._fed)
+        parser = self._parser
+        framing, length = find_request_framing(self, parser.get_http_version())
+        self.drop_named_by_connection()
+        method = parser.get_method().decode("latin-1")
         if method == "CONNECT":
             raise MalformedMessageError(Reason.UNSUPPORTED, "CONNECT is not served")
-        keep_alive = self._parser.should_keep_alive()
-        self._events.append(
-            RequestHead(
-                method, self._target, self._headers, framing, length, keep_alive
-            )
+        head = RequestHead(
+            method,
+            self._target,
+            self.lines,
+            self.own,
+            _find_authorization(self.lines),
+            framing,
+            length,
+            parser.should_keep_alive(),
+            find_expectation(self),
         )
+        self.begin_headers()  # trailers are dropped
+        self._events.append(head)
 
     def on_body(self, part: bytes) -> None:
         """Emit a body part."""
@@ -130,21 +132,15 @@
 
     def on_message_complete(self) -> None:
         """Emit the end of the message."""
-        self._size = 0
         self._events.append(END_OF_MESSAGE)
 
-    def _count(self, size: int) -> None:
-        self._size += size
-        if self._size > self._limits.head_bytes:
-            raise MalformedMessageError(Reason.HEAD_TOO_LARGE, "the head is too large")
-
 
-class AnswerParser:
+class AnswerParser(HeaderCollector):
     """Parse the answers of one connection; told each request's method."""
 
     __slots__ = (
         "_events",
-        "_headers",
+        "_fed",
         "_informational",
         "_limits",
         "_method",
@@ -154,14 +150,15 @@
     )
 
     def __init__(self, limits: HeadLimits) -> None:
+        super().__init__()
         self._limits = limits
         self._events: list[AnswerEvent] = []
-        self._headers: Headers = []
         self._method = ""
         self._informational = False
         self._skip_body = False
         self._parser = httptools.HttpResponseParser(self)
-        self._unread = 0  # bytes since the last event
+        self._fed = 0  # bytes being read now
+        self._unread = 0  # bytes read before, since the last event
 
     def expect_answer(self, method: str) -> None:
         """Prepare for the answer to a request."""
@@ -174,6 +171,7 @@
         """Return the events that the bytes complete."""
         events: list[AnswerEvent] = []
         self._events = events
+        self._fed = len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -188,13 +186,7 @@
 
     def on_message_begin(self) -> None:
         """Prepare for the next message."""
-        self._headers = []
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self._headers.append((name.lower(), value))
-        if len(self._headers) > self._limits.header_count:
-            raise MalformedMessageError(Reason.BAD_ANSWER, "too many headers")
+        self.begin_headers()
 
     def on_headers_complete(self) -> None:
         """Emit the head, unless it is informational."""
@@ -202,10 +194,12 @@
         self._informational = status < 200
         if self._informational:
             return
-        check_headers(self._headers)
-        framing, length = find_answer_framing(self._headers, status, self._method)
+        _check_limits(self, self._limits, self._unread + self._fed)
+        framing, length = find_answer_framing(self, status, self._method)
+        self.drop_named_by_connection()
         keep_alive = self._parser.should_keep_alive()
-        head = AnswerHead(status, self._headers, framing, length, keep_alive)
+        head = AnswerHead(status, self.lines, self.own, framing, length, keep_alive)
+        self.begin_headers()  # trailers are dropped
         self._events.append(head)
         if self._method == "HEAD":
             self._skip_body = True
@@ -223,13 +217,30 @@
             self._events.append(END_OF_MESSAGE)
 
 
+def is_framed(head: AnswerHead) -> bool:
+    """Say whether the end of an answer can be told from a cut."""
+    return head.framing is not Framing.UNTIL_CLOSE
+
+
+def _check_limits(
+    collected: HeaderCollector, limits: HeadLimits, read_bytes: int
+) -> None:
+    if collected.count_headers() > limits.header_count:
+        raise MalformedMessageError(Reason.HEAD_TOO_LARGE, "too many headers")
+    # A head is no larger than what was read for it, which is seldom much.
+    if read_bytes > limits.head_bytes < collected.measure_headers():
+        raise MalformedMessageError(Reason.HEAD_TOO_LARGE, "the head is too large")
+
+
+def _find_authorization(lines: list[bytes]) -> bytes:
+    for line in lines:
+        if line.startswith(_AUTHORIZATION_START):
+            return line[len(_AUTHORIZATION_START) : -_END_OF_LINE_BYTES]
+    return b""
+
+
 def _describe_fault(error: Exception) -> Malformed:
     cause = error.__context__
     if isinstance(cause, MalformedMessageError):
         return Malformed(cause.reason, cause.detail)
     return Malformed(Reason.BAD_REQUEST, str(error) or "the message is malformed")
-
-
-def is_framed(head: AnswerHead) -> bool:
-    """Say whether the end of an answer can be told from a cut."""
-    return head.framing is not Framing.UNTIL_CLOSE
--- a/monsoontray/forwarding/refusals.py
+++ b/monsoontray/forwarding/refusals.py
@@ -7,7 +7,13 @@
 import msgspec
 
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal
-from monsoontray.forwarding.heads import AnswerHead, Framing, encode_answer
+from monsoontray.forwarding.heads import (
+    CLOSE_LINE,
+    AnswerHead,
+    Framing,
+    encode_answer,
+    encode_line,
+)
 
 REFUSAL_HEADER = b"monsoontray-refusal"
 RAN_HEADER = b"monsoontray-ran"
@@ -44,23 +50,23 @@
     reason = refusal.reason.value
     ran = refusal.ran.value
     body = msgspec.json.encode(RefusalBody(reason, ran, call_id)) + b"\n"
-    headers = [
-        (b"content-type", b"application/json"),
-        (REFUSAL_HEADER, reason.encode()),
-        (RAN_HEADER, ran.encode()),
+    lines = [
+        b"content-type: application/json\r\n",
+        encode_line(REFUSAL_HEADER, reason.encode()),
+        encode_line(RAN_HEADER, ran.encode()),
     ]
     if call_id:
-        headers.append((CALL_ID_HEADER, call_id.encode("latin-1")))
+        lines.append(encode_line(CALL_ID_HEADER, call_id.encode("latin-1")))
     if closes:
-        headers.append((b"connection", b"close"))
-    head = encode_answer(status, headers, Framing.LENGTH, len(body))
+        lines.append(CLOSE_LINE)
+    head = encode_answer(status, lines, Framing.LENGTH, len(body))
     return head + body
 
 
 def read_refusal(head: AnswerHead) -> Refusal | None:
     """Return the refusal that another node's answer states, if any."""
-    reason = head.find(REFUSAL_HEADER)
+    reason = head.own.get(REFUSAL_HEADER)
     if not reason:
         return None
-    ran = _RAN.get(head.find(RAN_HEADER), Ran.UNKNOWN)
+    ran = _RAN.get(head.own.get(RAN_HEADER, b""), Ran.UNKNOWN)
     return Refusal(_REASONS.get(reason, Reason.BAD_ANSWER), ran)
--- a/monsoontray/forwarding/routes.py
+++ b/monsoontray/forwarding/routes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
@@ -10,7 +10,7 @@
 from monsoontray.decisions.guard import Granted, Queued
 from monsoontray.decisions.outcomes import Reason, Refusal, refuse_unrun
 from monsoontray.decisions.servers import Endpoint, choose_server
-from monsoontray.forwarding.heads import Headers
+from monsoontray.forwarding.heads import encode_line
 from monsoontray.settings.settings import Address, parse_address
 
 if TYPE_CHECKING:
@@ -44,7 +44,7 @@
 
     address: Address
     is_guard: bool
-    headers: Headers = field(default_factory=list)
+    lines: tuple[bytes, ...]
 
 
 @singledispatch
@@ -121,8 +121,8 @@
         call.fail_attempt(Reason.SERVER_LEAVING)
         return
     customer = find_customer(call.route).encode("latin-1")
-    headers = [(CUSTOMER_HEADER, customer)]
-    call.send_to(Hop(address, False, headers))
+    lines = (encode_line(CUSTOMER_HEADER, customer),)
+    call.send_to(Hop(address, False, lines))
 
 
 @singledispatch
@@ -158,9 +158,9 @@
 
 
 def _build_guard_hop(endpoint: Endpoint, admitted: Admitted) -> Hop:
-    headers = [
-        (SERVER_HEADER, endpoint.server.encode("latin-1")),
-        (CUSTOMER_HEADER, admitted.customer.encode("latin-1")),
-        (PRIORITY_HEADER, b"%d" % admitted.priority),
-    ]
-    return Hop(parse_address(endpoint.guard_address), True, headers)
+    lines = (
+        encode_line(SERVER_HEADER, endpoint.server.encode("latin-1")),
+        encode_line(CUSTOMER_HEADER, admitted.customer.encode("latin-1")),
+        encode_line(PRIORITY_HEADER, b"%d" % admitted.priority),
+    )
+    return Hop(parse_address(endpoint.guard_address), True, lines)
--- a/monsoontray/settings/settings.py
+++ b/monsoontray/settings/settings.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from difflib import get_close_matches
+from functools import lru_cache
 from pathlib import Path
 from typing import Any
 
@@ -65,6 +66,7 @@
         return dict(self._values)
 
 
+@lru_cache(maxsize=8192)
 def parse_address(text: str) -> Address:
     """Return the address that ``IP:PORT`` names; raise ValueError."""
     host, separator, port = text.rpartition(":")
