--- a/bench/demo.py
+++ b/bench/demo.py
@@ -83,9 +83,7 @@
     _run_command("config", "edit", "padma", "--plan=order", f"--node={second.operator}")
     fleet.wait_for_version(2)
     took_ms = (time.monotonic() - begun) * 1000
-    print(
-        f"  version 2 is in force at all {len(fleet.nodes)} nodes after {took_ms:.0f} ms"
-    )
+    print(f"  version 2 is in force at every node after {took_ms:.0f} ms")
     for node in fleet.nodes:
         _check(node, "padma", "/orders/swatches", 200)
 
--- a/bench/standins/backend.py
+++ b/bench/standins/backend.py
@@ -109,8 +109,19 @@
                 except (ClientError, TimeoutError, OSError):
                     known = False
                 await asyncio.sleep(ANNOUNCE_INTERVAL_S if known else 0.1)
-            url = f"http://{self.node}/leave"
-            await session.post(url, json={"server": self.announcement["server"]})
+
+    async def leave(self) -> None:
+        """Tell the node that the server leaves."""
+        self.leaving = True
+        if self.announcer is not None:
+            self.announcer.cancel()
+        url = f"http://{self.node}/leave"
+        body = {"server": self.announcement["server"]}
+        try:
+            async with ClientSession(timeout=ClientTimeout(2.0)) as session:
+                await session.post(url, json=body)
+        except (ClientError, TimeoutError, OSError):
+            return
 
     async def report_health(self, request: web.Request) -> web.StreamResponse:
         """Claim to be healthy or not."""
@@ -129,7 +140,7 @@
         if body.pop("turn_cold", False):
             self.warm_since = time.monotonic()
         if body.pop("leave", False):
-            self.leaving = True
+            await self.leave()
         known = msgspec.to_builtins(self.behaviour)
         self.behaviour = msgspec.convert({**known, **body}, Behaviour)
         return web.json_response({})
@@ -213,9 +224,9 @@
         return late and loaded and path.startswith(behaviour.bad_prefix)
 
 
-async def drain(application: web.Application, backend: Backend) -> None:
+async def drain(backend: Backend) -> None:
     """Leave, then end when the running calls have ended."""
-    backend.leaving = True
+    await backend.leave()
     while backend.running:
         await asyncio.sleep(0.01)
 
@@ -237,13 +248,15 @@
 async def serve_until_stopped(backend: Backend, host: str, port: int) -> None:
     """Serve, and drain on SIGTERM."""
     application = backend.build_application()
-    runner = web.AppRunner(application, access_log=None, handler_cancellation=True)
+    runner = web.AppRunner(
+        application, access_log=None, handler_cancellation=True, shutdown_timeout=0.5
+    )
     await runner.setup()
     await web.TCPSite(runner, host, port).start()
     stopped = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
     await stopped.wait()
-    await drain(application, backend)
+    await drain(backend)
     await runner.cleanup()
 
 
--- a/monsoontray/configuration/service.py
+++ b/monsoontray/configuration/service.py
@@ -234,5 +234,5 @@
 
 def setup(kernel: Kernel) -> None:
     """Register the service."""
-    requires = ("settings", "metrics", "forwarding", "membership")
+    requires = ("settings", "metrics", "membership")
     kernel.register(Registration(NAME, requires, Configuration))
--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -94,12 +94,12 @@
 
     def on_sent(self) -> None:
         """Let the answer flow again once the caller has taken enough."""
+        if self._lingering:
+            self._end_writing()
+            return
         self._idle_deadline = self.forwarder.clock.now() + self.forwarder.limits.idle_s
         if self.call is not None:
             self.call.on_caller_sent(self.out_bytes)
-        elif self._lingering and not self.out_bytes:
-            with contextlib.suppress(OSError):
-                self.sock.shutdown(socket.SHUT_WR)
 
     def close(self) -> None:
         """Close the socket and forget its timer."""
@@ -179,6 +179,11 @@
         self.write(encode_refusal(refusal, call_id, self._answer_closes))
         self._finish_call()
 
+    def refuse_connection(self, refusal: Refusal) -> None:
+        """Send a refusal before any request and end the connection."""
+        self._answer_closes = True
+        self.refuse(refusal)
+
     def cut(self) -> None:
         """End an answer visibly incomplete."""
         self.call = None
@@ -214,6 +219,11 @@
         self._arm_idle_timer()
         self.resume_reading()
 
+    def _end_writing(self) -> None:
+        if not self.out_bytes:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_WR)
+
     def _limit_head(self, now: float, was_open: bool) -> None:
         if was_open:
             return
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -38,6 +38,7 @@
 from monsoontray.forwarding.upstream import UpstreamPool
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.kernel.sockets import SocketTask
+from monsoontray.membership.messages import NodeLeaves
 
 if TYPE_CHECKING:
     from monsoontray.forwarding.connection import Connection
@@ -95,6 +96,7 @@
     def begin_stop(self, deadline: float) -> None:
         """Take no new connections and end when the running calls have ended."""
         self.stopping = True
+        self.kernel.post("membership", NodeLeaves())
         for listener in self._listeners:
             listener.close()
         now = self.clock.now()
@@ -120,7 +122,7 @@
         caller = CallerConnection(sock, self, side)
         self._callers.add(caller)
         if len(self._callers) > self.limits.callers:
-            caller.refuse(refuse_unrun(Reason.TOO_MANY_CONNECTIONS))
+            caller.refuse_connection(refuse_unrun(Reason.TOO_MANY_CONNECTIONS))
 
     def forget_caller(self, caller: CallerConnection) -> None:
         """Forget a connection that was closed."""
@@ -271,4 +273,14 @@
 
 def setup(kernel: Kernel) -> None:
     """Register the service."""
-    kernel.register(Registration(NAME, ("settings", "metrics"), Forwarder))
+    # Calls are taken last at the start and given up first at the stop, while the
+    # services that carry news still run.
+    requires = (
+        "settings",
+        "metrics",
+        "membership",
+        "configuration",
+        "peers",
+        "watcher",
+    )
+    kernel.register(Registration(NAME, requires, Forwarder))
--- a/monsoontray/forwarding/framing.py
+++ b/monsoontray/forwarding/framing.py
@@ -44,7 +44,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header; the parser has checked its characters."""
-        name = name.lower()
+        name, value = name.lower(), value.rstrip()
         if name in HOP_HEADERS:
             self.hop.append((name, value))
         elif name.startswith(OWN_PREFIX):
--- a/monsoontray/membership/service.py
+++ b/monsoontray/membership/service.py
@@ -23,6 +23,7 @@
     ExchangeFailed,
     ExchangeReceived,
     FleetState,
+    NodeLeaves,
     SeedsFound,
     SendExchange,
     ServerLeaves,
@@ -132,6 +133,12 @@
         self._local_deadlines[server] = self.clock.now() + LEAVING_KEPT_S
         self._publish_local()
 
+    def leave(self) -> None:
+        """Mark every server on this VM as leaving, and say so at once."""
+        for server in list(self._local):
+            self.begin_leaving(server)
+        self._next_push = self.clock.now()
+
     def add_seeds(self, addresses: tuple[str, ...]) -> None:
         """Exchange with nodes that are not known yet."""
         own = self.fleet.own.peer_address
@@ -250,6 +257,11 @@
     membership.begin_leaving(message.server)
 
 
+@handle_message.register(NodeLeaves)
+def _(message: NodeLeaves, membership: Membership) -> None:
+    membership.leave()
+
+
 @handle_message.register(ExchangeReceived)
 def _(message: ExchangeReceived, membership: Membership) -> None:
     message.reply.put(membership.answer(message.exchange))
--- a/monsoontray/operators/service.py
+++ b/monsoontray/operators/service.py
@@ -301,5 +301,5 @@
 
 def setup(kernel: Kernel) -> None:
     """Register the service."""
-    requires = ("settings", "metrics", "forwarding", "membership", "acceptance")
+    requires = ("settings", "metrics", "membership", "acceptance")
     kernel.register(Registration(NAME, requires, OperatorsService))
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,41 @@
+"""Fixtures that tests share."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from bench.fleet import Fleet
+from bench.lists import build_customer, build_lists, build_plan, build_route
+from monsoontray.kernel.clock import ManualClock
+from tests.trio import SERVICES, TOKEN, start_trio
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock(100.0)
+
+
+@pytest.fixture
+def fleet() -> Iterator[Fleet]:
+    with Fleet() as fleet:
+        yield fleet
+
+
+@pytest.fixture(scope="session")
+def trio() -> Iterator[Fleet]:
+    """Three nodes in three zones with two catalogue servers; tests only call it."""
+    with Fleet() as fleet:
+        start_trio(fleet)
+        routes = [build_route(f"/{service}", service) for service in SERVICES]
+        lists = build_lists(
+            [build_customer("router", "plan", TOKEN)],
+            [build_plan("plan", routes)],
+            list(SERVICES),
+        )
+        proposal = {"based_on": 0, "author": "test", "lists": lists}
+        verdict = fleet.post_json(fleet.nodes[0].operator, "/config", proposal)
+        assert verdict["outcome"] == "accepted"
+        fleet.wait_for_version(1)
+        yield fleet
--- /dev/null
+++ b/tests/test_decisions/test_adoption.py
@@ -0,0 +1,102 @@
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from monsoontray.decisions.admission import Entitlements
+from monsoontray.decisions.adoption import (
+    Adoption,
+    AdoptionState,
+    enforce,
+    hear_of,
+    may_enforce,
+)
+from monsoontray.decisions.enforcement import (
+    Baseline,
+    Pending,
+    Readiness,
+    decide_readiness,
+    have_peers_answered,
+)
+from monsoontray.decisions.servers import Endpoint, ServerTable
+from monsoontray.plans.model import (
+    NO_VERSION,
+    Lists,
+    Plan,
+    Route,
+    ServiceEntry,
+    Version,
+    VersionName,
+)
+
+names = st.builds(VersionName, st.integers(1, 8), st.sampled_from(["a", "b"]))
+
+
+@settings(max_examples=300, derandomize=True)
+@given(st.lists(st.tuples(st.booleans(), names), max_size=40))
+def test_news_in_any_order_never_takes_a_node_back(events):
+    state = AdoptionState()
+    for arrives, name in events:
+        before = state.in_force
+        if arrives and may_enforce(state, name):
+            state = enforce(state, name)
+        else:
+            state, _ = hear_of(state, name)
+        assert state.in_force.number >= before.number
+        assert state.highest.number >= state.in_force.number
+        if state.in_force.number == before.number:
+            assert state.in_force == before
+
+
+def test_a_second_digest_of_a_number_is_never_fetched():
+    state = enforce(AdoptionState(), VersionName(4, "a"))
+    assert hear_of(state, VersionName(4, "b"))[1] is Adoption.FORK
+    state, adoption = hear_of(state, VersionName(5, "a"))
+    assert adoption is Adoption.FETCH
+    assert hear_of(state, VersionName(5, "b"))[1] is Adoption.FORK
+    assert hear_of(state, VersionName(3, "a"))[1] is Adoption.IGNORE
+
+
+def build_pending(number: int, deadline: float = 10.0) -> Pending:
+    plan = Plan("order", (Route("/orders", "orders", "swatches"),))
+    lists = Lists((), (plan,), (ServiceEntry("orders", ("swatches",)),))
+    version = Version(number, None, "ana", 0.0, lists)
+    return Pending(Entitlements(VersionName(number, "d"), version), deadline)
+
+
+def build_table(*resources: str) -> ServerTable:
+    endpoint = Endpoint(
+        "s", "orders", "1", 9, "n", "r", "z", "127.0.0.1:1", frozenset(resources)
+    )
+    return ServerTable([endpoint])
+
+
+def test_a_version_waits_for_what_its_routes_point_at():
+    known = Baseline(NO_VERSION)
+    pending = build_pending(1)
+    for table in (ServerTable(), build_table("scans")):
+        readiness = decide_readiness(pending, known, table, 9.0)
+        assert readiness is Readiness.REFERENCES_MISSING
+    table = build_table("swatches")
+    assert decide_readiness(pending, known, table, 9.0) is Readiness.READY
+    assert decide_readiness(pending, known, ServerTable(), 10.0) is Readiness.READY
+
+
+def test_a_restarted_node_serves_nothing_below_the_head():
+    table = build_table("swatches")
+    baseline = Baseline(VersionName(3, "d"))
+    older = decide_readiness(build_pending(2), baseline, table, 0.0)
+    assert older is Readiness.BELOW_BASELINE
+    assert decide_readiness(build_pending(3), baseline, table, 0.0) is Readiness.READY
+
+
+def test_without_the_store_a_restarted_node_waits_for_peers():
+    table = build_table("swatches")
+    unknown = decide_readiness(build_pending(2), Baseline(), table, 0.0)
+    assert unknown is Readiness.BASELINE_UNKNOWN
+    answered = Baseline(None, peers_answered=True)
+    assert decide_readiness(build_pending(2), answered, table, 0.0) is Readiness.READY
+    assert not have_peers_answered(2, 9)
+    assert have_peers_answered(3, 9)
+    assert have_peers_answered(1, 1)
+    assert not have_peers_answered(0, 0)
--- /dev/null
+++ b/tests/test_decisions/test_fleet.py
@@ -0,0 +1,139 @@
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from monsoontray.decisions.fleet import (
+    FAILURES_TO_SUSPECT,
+    SUSPICION_S,
+    TOMBSTONE_S,
+    Fleet,
+    NodeRecord,
+    NodeState,
+)
+from monsoontray.decisions.servers import ServerRecord, ServerState
+
+
+def build_record(node: str, sequence: int = 1, **changes) -> NodeRecord:
+    zone = changes.pop("zone", "zone-a")
+    return NodeRecord(
+        node, "norte", zone, "127.0.0.1:1", "127.0.0.1:2", 1, sequence, **changes
+    )
+
+
+def build_fleet(*nodes: str) -> Fleet:
+    fleet = Fleet(build_record("own"))
+    fleet.merge([build_record(node) for node in nodes], 0.0)
+    return fleet
+
+
+records = st.builds(
+    build_record,
+    st.sampled_from(["a", "b", "c", "own"]),
+    st.integers(1, 4),
+    state=st.sampled_from(NodeState),
+)
+
+
+@settings(max_examples=200, derandomize=True)
+@given(st.lists(records, max_size=12), st.randoms(use_true_random=False))
+def test_the_order_and_repetition_of_news_make_no_difference(news, random):
+    known = [build_record(node, 0) for node in ("a", "b", "c")]
+    first = Fleet(build_record("own"))
+    second = Fleet(build_record("own"))
+    first.merge(known, 0.0)
+    second.merge(known, 0.0)
+    others = [record for record in news if record.node != "own"]
+    for record in others:
+        first.merge([record], 0.0)
+    shuffled = others * 2
+    random.shuffle(shuffled)
+    second.merge(shuffled, 0.0)
+    stamps = {record.node: record.get_stamp() for record in first.get_records()}
+    assert stamps == {r.node: r.get_stamp() for r in second.get_records()}
+    assert first.get_digest() == second.get_digest()
+
+
+@settings(max_examples=200, derandomize=True)
+@given(st.lists(records, max_size=12), st.lists(records, max_size=12))
+def test_a_repair_makes_two_nodes_equal(left_news, right_news):
+    left, right = Fleet(build_record("left")), Fleet(build_record("right"))
+    left.merge([*left_news, right.own], 0.0)
+    right.merge([*right_news, left.own], 0.0)
+    differences = left.compare(right.get_stamps())
+    answer = right.select_records(differences.wanted)
+    right.merge(differences.ours, 0.0)
+    left.merge(answer, 0.0)
+    assert left.get_digest() == right.get_digest()
+
+
+def test_a_node_answers_suspicion_with_something_newer():
+    fleet = build_fleet("a")
+    suspicion = replace(fleet.own, state=NodeState.SUSPECT)
+    assert fleet.merge([suspicion], 0.0)
+    assert fleet.own.state is NodeState.ALIVE
+    assert fleet.own.get_stamp().is_newer_than(suspicion.get_stamp())
+
+
+def test_a_restarted_node_overrides_what_is_known_of_its_predecessor():
+    fleet = build_fleet("a")
+    predecessor = replace(fleet.own, incarnation=9, sequence=50)
+    fleet.merge([predecessor], 0.0)
+    assert fleet.own.get_stamp().is_newer_than(predecessor.get_stamp())
+
+
+def test_a_silent_node_is_suspected_then_dead_then_forgotten():
+    fleet = build_fleet("a")
+    failures = [fleet.note_failure("a", 0.0) for _ in range(FAILURES_TO_SUSPECT)]
+    assert failures[-1]
+    assert not any(failures[:-1])
+    assert not fleet.expire(SUSPICION_S - 0.1)
+    assert fleet.expire(SUSPICION_S)
+    assert fleet.select_records(["a"])[0].state is NodeState.DEAD
+    assert fleet.choose_peers(3, Random(1)) == []
+    fleet.expire(SUSPICION_S + TOMBSTONE_S)
+    assert fleet.select_records(["a"]) == []
+
+
+def test_a_refuted_suspicion_has_no_consequence():
+    fleet = build_fleet("a")
+    for _ in range(FAILURES_TO_SUSPECT):
+        fleet.note_failure("a", 0.0)
+    fleet.merge([build_record("a", 2)], 1.0)
+    assert not fleet.expire(SUSPICION_S + 1.0)
+    assert fleet.select_records(["a"])[0].state is NodeState.ALIVE
+
+
+def test_only_serving_servers_of_living_nodes_are_offered():
+    def build_server(name, state):
+        return ServerRecord(name, "catalogue", "1", (), 2, 9, state)
+
+    servers = (
+        build_server("up", ServerState.SERVING),
+        build_server("going", ServerState.LEAVING),
+    )
+    fleet = build_fleet()
+    fleet.merge([build_record("a", servers=servers)], 0.0)
+    found = fleet.build_servers().find("catalogue")
+    assert [endpoint.server for endpoint in found] == ["up"]
+
+
+def test_news_is_told_a_bounded_number_of_times():
+    fleet = build_fleet(*"abcdefg")
+    told = 0
+    while fleet.has_news():
+        told += len(fleet.take_news())
+        assert told < 200
+    fleet.merge([build_record("a", 2)], 0.0)
+    assert [record.node for record in fleet.take_news()] == ["a"]
+
+
+def test_most_exchanges_stay_in_the_zone():
+    fleet = build_fleet("a", "b")
+    fleet.merge([build_record(n, zone="zone-b") for n in "cdef"], 0.0)
+    random = Random(7)
+    chosen = [fleet.choose_peers(1, random)[0].zone for _ in range(400)]
+    assert 40 < chosen.count("zone-b") < 160
--- /dev/null
+++ b/tests/test_decisions/test_guard.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from monsoontray.decisions.guard import Granted, GuardState, Queued
+from monsoontray.decisions.outcomes import Reason, refuse_unrun
+from monsoontray.decisions.servers import ServerRecord, ServerState
+
+RECORD = ServerRecord("s", "catalogue", "1", (), 2, 130, ServerState.SERVING)
+
+
+def test_slots_are_exact_and_the_queue_is_short():
+    guard = GuardState(RECORD, queue_limit=1)
+    assert guard.request_slot("a", 9.0, 0) == Granted()
+    assert guard.request_slot("b", 9.0, 0) == Granted()
+    assert guard.request_slot("c", 9.0, 0) == Queued()
+    assert guard.request_slot("d", 9.0, 0) == refuse_unrun(Reason.NO_SLOT)
+    assert guard.release_slot(1.0) == "c"
+    assert guard.release_slot(1.0) is None
+    assert guard.in_use == 1
+
+
+def test_connections_bound_the_calls_as_well():
+    guard = GuardState(replace(RECORD, connections=1), 0)
+    assert guard.request_slot("a", 9.0, 0) == Granted()
+    assert guard.request_slot("b", 9.0, 0) == refuse_unrun(Reason.NO_SLOT)
+
+
+def test_the_queue_serves_plan_priority_then_deadline():
+    guard = GuardState(replace(RECORD, slots=1), 9)
+    guard.request_slot("runs", 9.0, 0)
+    guard.request_slot("low", 2.0, 5)
+    guard.request_slot("later", 8.0, 1)
+    guard.request_slot("sooner", 7.0, 1)
+    order = [guard.release_slot(0.0) for _ in range(3)]
+    assert order == ["sooner", "later", "low"]
+
+
+def test_a_call_past_its_deadline_or_gone_gets_no_slot():
+    guard = GuardState(replace(RECORD, slots=1), 9)
+    guard.request_slot("runs", 9.0, 0)
+    guard.request_slot("late", 2.0, 0)
+    guard.request_slot("gone", 8.0, 0)
+    guard.request_slot("waits", 9.0, 0)
+    assert guard.forget_waiting("gone")
+    assert not guard.forget_waiting("gone")
+    assert guard.release_slot(3.0) == "waits"
+
+
+def test_a_leaving_server_gets_no_new_work_but_keeps_what_runs():
+    guard = GuardState(RECORD, 9)
+    guard.request_slot("runs", 9.0, 0)
+    guard.update_record(replace(RECORD, state=ServerState.LEAVING), 0.0)
+    assert guard.request_slot("new", 9.0, 0) == refuse_unrun(Reason.SERVER_LEAVING)
+    assert guard.in_use == 1
+
+
+def test_more_slots_let_waiting_calls_run():
+    guard = GuardState(replace(RECORD, slots=1), 9)
+    for name in "abcd":
+        guard.request_slot(name, 9.0, 0)
+    assert guard.update_record(replace(RECORD, slots=3), 0.0) == ["b", "c"]
+
+
+@settings(max_examples=200, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["call", "end", "leave-queue", "slots"]), st.integers(1, 4)
+        ),
+        max_size=60,
+    )
+)
+def test_the_calls_that_run_never_exceed_the_slots(events):
+    guard = GuardState(RECORD, 3)
+    running: set[int] = set()
+    waiting: set[int] = set()
+    slots = RECORD.slots
+    for number, (event, value) in enumerate(events):
+        if event == "call":
+            outcome = guard.request_slot(number, 1e9, value)
+            if outcome == Granted():
+                running.add(number)
+                assert len(running) <= slots
+            elif outcome == Queued():
+                waiting.add(number)
+        elif event == "end" and running:
+            running.pop()
+            granted = guard.release_slot(0.0)
+            if granted is not None:
+                waiting.remove(granted)
+                running.add(granted)
+                assert len(running) <= slots
+        elif event == "leave-queue" and waiting:
+            assert guard.forget_waiting(waiting.pop())
+        elif event == "slots":
+            slots = value
+            for granted in guard.update_record(replace(RECORD, slots=value), 0.0):
+                waiting.remove(granted)
+                running.add(granted)
+                assert len(running) <= slots
+        assert guard.in_use == len(running)
+        assert len(guard.waiting) == len(waiting) <= 3
--- /dev/null
+++ b/tests/test_decisions/test_servers.py
@@ -0,0 +1,92 @@
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from monsoontray.decisions.servers import (
+    PENALTY_S,
+    Endpoint,
+    LoadView,
+    Place,
+    ServerTable,
+    choose_server,
+)
+
+PLACE = Place("node-0", "norte", "zone-a")
+
+
+def build_endpoint(server: str, zone: str, region: str = "norte", **changes):
+    values = {
+        "server": server,
+        "service": "catalogue",
+        "version": "1",
+        "slots": 2,
+        "node": f"node-of-{server}",
+        "region": region,
+        "zone": zone,
+        "guard_address": "127.0.0.1:1",
+        "resources": frozenset(),
+        **changes,
+    }
+    return Endpoint(**values)
+
+
+def choose(endpoints, loads=None, tried=(), resource="", now=0.0, seed=1):
+    table = ServerTable(endpoints)
+    return choose_server(
+        table.find("catalogue"),
+        resource,
+        PLACE,
+        tried,
+        loads or LoadView(),
+        now,
+        Random(seed),
+    )
+
+
+NEAR = build_endpoint("near", "zone-a")
+OTHER_ZONE = build_endpoint("other", "zone-b")
+OTHER_REGION = build_endpoint("far", "zone-a", "sul")
+
+
+def test_the_own_zone_goes_first_then_the_region():
+    assert choose([OTHER_REGION, OTHER_ZONE, NEAR]) is NEAR
+    assert choose([OTHER_REGION, OTHER_ZONE]) is OTHER_ZONE
+    assert choose([OTHER_REGION]) is OTHER_REGION
+    assert choose([]) is None
+
+
+def test_calls_spill_over_once_the_near_servers_are_full():
+    loads = LoadView()
+    for _ in range(2):
+        loads.begin("near")
+    assert choose([NEAR, OTHER_ZONE], loads) is OTHER_ZONE
+    loads.end("near")
+    assert choose([NEAR, OTHER_ZONE], loads) is NEAR
+
+
+def test_a_server_is_not_tried_twice():
+    assert choose([NEAR, OTHER_ZONE], tried=("near",)) is OTHER_ZONE
+    assert choose([NEAR], tried=("near",)) is None
+
+
+def test_an_unreachable_server_is_avoided_for_a_while():
+    loads = LoadView()
+    loads.avoid("near", 0.0)
+    assert choose([NEAR, OTHER_ZONE], loads) is OTHER_ZONE
+    assert choose([NEAR], loads) is NEAR
+    assert choose([NEAR, OTHER_ZONE], loads, now=PENALTY_S) is NEAR
+
+
+def test_only_servers_with_the_resource_are_chosen():
+    scans = build_endpoint("scans", "zone-b", resources=frozenset(["scans"]))
+    assert choose([NEAR, scans], resource="scans") is scans
+
+
+def test_the_less_loaded_of_two_is_chosen_and_all_get_some():
+    servers = [build_endpoint(f"s{i}", "zone-a") for i in range(5)]
+    loads = LoadView()
+    loads.begin("s0")
+    chosen = Counter(choose(servers, loads, seed=i).server for i in range(500))
+    assert chosen["s0"] == 0
+    assert min(chosen[f"s{i}"] for i in range(1, 5)) > 50
--- /dev/null
+++ b/tests/test_forwarding/test_calls.py
@@ -0,0 +1,361 @@
+"""Calls through real nodes and back ends."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from bench.caller import CutAnswerError, Router, build_request
+from bench.fleet import Fleet
+from bench.lists import build_customer, build_lists, build_plan, build_route
+from bench.processes import read_peak_rss_mb, read_rss_mb
+from tests.trio import TOKEN, call, observe
+
+MB = 1_000_000
+LARGE_MB = 300
+MAX_GROWTH_MB = 30.0
+
+
+def find_refusal(answer):
+    return answer.find(b"monsoontray-refusal"), answer.find(b"monsoontray-ran")
+
+
+def test_a_call_is_served_from_every_node(trio):
+    for node in trio.nodes:
+        answer = call(node.entry, "/catalogue/linen")
+        assert answer.status == 200
+        assert answer.body.startswith(b"GET /catalogue/linen 0")
+
+
+def test_the_server_in_the_own_zone_is_preferred(trio):
+    answers = [call(trio.nodes[1].entry, "/catalogue/linen") for _ in range(10)]
+    assert {answer.find(b"x-server") for answer in answers} == {b"catalogue-1"}
+
+
+def test_a_body_arrives_whole_in_both_framings(trio):
+    body = b"scan" * 5_000
+    answer = call(trio.nodes[2].entry, "/catalogue/scan", "POST", body=body)
+    assert answer.body.startswith(b"POST /catalogue/scan 20000")
+    chunked = build_request(
+        "/catalogue/scan", TOKEN, "POST", Transfer_Encoding="chunked"
+    )
+    router = Router(trio.nodes[2].entry)
+    answer = router.call(chunked + b"5\r\nhello\r\n3\r\nyou\r\n0\r\n\r\n")
+    assert answer.body.startswith(b"POST /catalogue/scan 8")
+    router.close()
+
+
+def test_refusals_say_why_and_that_the_call_did_not_run(trio):
+    entry = trio.nodes[0].entry
+    router = Router(entry)
+    cases = [
+        (build_request("/other", TOKEN), 403, b"not-in-plan"),
+        (build_request("/catalogue"), 401, b"no-credentials"),
+        (build_request("/catalogue", "stranger"), 401, b"unknown-customer"),
+        (build_request("/nowhere/x", TOKEN), 503, b"no-server"),
+        (build_request("/catalogue/../x", TOKEN), 400, b"bad-request"),
+        (build_request("/other", TOKEN, "POST", b"body"), 403, b"not-in-plan"),
+    ]
+    for request, status, reason in cases:
+        answer = router.call(request)
+        assert answer.status == status
+        assert find_refusal(answer) == (reason, b"not-run")
+        told = json.loads(answer.body)
+        assert (told["refused"].encode(), told["ran"]) == (reason, "not-run")
+    assert router.call(build_request("/catalogue", TOKEN)).status == 200
+    router.close()
+
+
+def test_refusals_are_counted_by_reason(trio):
+    node = trio.nodes[2]
+
+    def read_count():
+        url = f"http://{node.operator}/metrics"
+        text = trio.http.request("GET", url).data.decode()
+        wanted = 'monsoontray_refusals_total{ran="not-run",reason="not-in-plan"} '
+        for line in text.splitlines():
+            if line.startswith(wanted):
+                return float(line.removeprefix(wanted))
+        return 0.0
+
+    before = read_count()
+    call(node.entry, "/other")
+    assert read_count() == before + 1
+
+
+def test_pipelined_requests_are_answered_in_order(trio):
+    router = Router(trio.nodes[2].entry)
+    paths = [f"/catalogue/{i}" for i in range(20)]
+    router._sock.sendall(b"".join(build_request(path, TOKEN) for path in paths))
+    buffered = b""
+    while buffered.count(b"GET /catalogue/") < len(paths):
+        part = router._sock.recv(65_536)
+        assert part
+        buffered += part
+    seen = [line for line in buffered.split(b"\n") if line.startswith(b"GET ")]
+    found = [line.split()[1].decode() for line in seen]
+    assert found == paths
+    router.close()
+
+
+def test_the_call_id_is_the_callers_or_a_new_one(trio):
+    entry = trio.nodes[2].entry
+    given = call(entry, "/catalogue", Monsoontray_Call_Id="mine")
+    assert given.find(b"monsoontray-call-id") == b"mine"
+    made = {call(entry, "/catalogue").find(b"monsoontray-call-id") for _ in range(5)}
+    assert len(made) == 5
+
+
+def test_answers_to_head_have_no_body(trio):
+    router = Router(trio.nodes[2].entry)
+    router._sock.sendall(build_request("/catalogue/linen", TOKEN, "HEAD"))
+    head = router._sock.recv(65_536)
+    assert head.endswith(b"\r\n\r\n")
+    assert router.call(build_request("/catalogue", TOKEN)).status == 200
+    router.close()
+
+
+def test_a_deadline_ends_a_call_and_shrinks_on_the_way(trio):
+    for node in (trio.nodes[0], trio.nodes[2]):
+        answer = call(node.entry, "/slow", "POST", Monsoontray_Timeout_Ms="60")
+        assert answer.status == 504
+        assert find_refusal(answer) == (b"deadline-passed", b"unknown")
+
+
+def test_slots_are_never_exceeded(trio):
+    before = observe(trio, "slow-0")
+    requests = [(trio.nodes[i % 3].entry, "/slow", "POST") for i in range(12)]
+    with ThreadPoolExecutor(12) as pool:
+        answers = list(pool.map(lambda words: call(*words), requests))
+    after = observe(trio, "slow-0")
+    assert [answer.status for answer in answers] == [200] * 12
+    assert after["most_at_once"] <= 2
+    assert after["over_capacity"] == before["over_capacity"] == 0
+
+
+def test_a_full_queue_refuses_and_nothing_runs_twice(trio):
+    before = observe(trio, "slow-0")["calls"]
+    with ThreadPoolExecutor(40) as pool:
+        entry = trio.nodes[2].entry
+        answers = list(pool.map(lambda _: call(entry, "/slow", "POST"), range(40)))
+    served = sum(answer.status == 200 for answer in answers)
+    refused = [answer for answer in answers if answer.status != 200]
+    assert observe(trio, "slow-0")["calls"] - before == served
+    assert refused
+    assert {find_refusal(answer) for answer in refused} == {(b"no-slot", b"not-run")}
+
+
+def test_a_caller_that_goes_cancels_the_back_end(trio):
+    before = observe(trio, "slow-0")["cancelled"]
+    for node in (trio.nodes[0], trio.nodes[2]):
+        router = Router(node.entry)
+        started = observe(trio, "slow-0")["calls"]
+        router._sock.sendall(build_request("/slow", TOKEN, "POST"))
+        trio.wait_for(lambda n=started: observe(trio, "slow-0")["calls"] > n, "call")
+        router.close()
+    trio.wait_for(
+        lambda: observe(trio, "slow-0")["cancelled"] == before + 2, "two cancellations"
+    )
+
+
+def test_a_large_body_takes_bounded_memory(trio):
+    entry, guard = trio.nodes[2], trio.nodes[1]
+    pids = [node.process.pid for node in (entry, guard, trio.nodes[0])]
+    before = {pid: read_rss_mb(pid) for pid in pids}
+    router = Router(entry.entry)
+    head = build_request(
+        "/catalogue/scan", TOKEN, "POST", Content_Length=str(LARGE_MB * MB)
+    )
+    router._sock.sendall(head)
+    part = bytes(MB)
+    for _ in range(LARGE_MB):
+        router._sock.sendall(part)
+    answer = router.read_answer()
+    assert answer.body.startswith(f"POST /catalogue/scan {LARGE_MB * MB}".encode())
+    for framing in ("length", "chunked"):
+        path = f"/catalogue/scan?size={LARGE_MB * MB}&framing={framing}"
+        router._sock.sendall(build_request(path, TOKEN))
+        received = 0
+        while received < LARGE_MB * MB:
+            part_length = len(router._sock.recv(MB))
+            assert part_length
+            received += part_length
+        router.close()
+        router = Router(entry.entry)
+    router.close()
+    growth = {pid: read_peak_rss_mb(pid) - before[pid] for pid in pids}
+    assert max(growth.values()) < MAX_GROWTH_MB
+
+
+def start_lone_fleet(fleet: Fleet, *flags: str, **settings):
+    """Start an entry node, a guard node and one server beside the latter."""
+    fleet.start_store()
+    entry = fleet.add_node("entry", "zone-a", **settings)
+    guard = fleet.add_node("guard", "zone-b", **settings)
+    for node in (entry, guard):
+        fleet.start_node(node)
+    for node in (entry, guard):
+        fleet.wait_for_node(node)
+    fleet.start_backend("one", "catalogue", guard, *flags)
+    fleet.wait_for_servers("catalogue", 1)
+    lists = build_lists(
+        [build_customer("router", "plan", TOKEN)],
+        [build_plan("plan", [build_route("/catalogue", "catalogue")])],
+        ["catalogue"],
+    )
+    proposal = {"based_on": 0, "author": "test", "lists": lists}
+    fleet.post_json(entry.operator, "/config", proposal)
+    fleet.wait_for_version(1)
+    return entry, guard
+
+
+def test_a_killed_guard_costs_idempotent_calls_nothing(fleet):
+    entry, guard = start_lone_fleet(fleet)
+    fleet.start_backend("two", "catalogue", entry)
+    fleet.wait_for_servers("catalogue", 2)
+    router = Router(entry.entry)
+    assert router.call(build_request("/catalogue", TOKEN)).status == 200
+    fleet.kill_node(guard)
+    for _ in range(50):
+        assert router.call(build_request("/catalogue", TOKEN)).status == 200
+    router.close()
+
+
+def test_a_crashed_back_end_leaves_a_posted_call_unknown(fleet):
+    entry, _guard = start_lone_fleet(fleet, "--service_ms=5000")
+    backend = fleet.backends[0]
+    router = Router(entry.entry)
+    router._sock.sendall(build_request("/catalogue", TOKEN, "POST", b"order"))
+    fleet.wait_for(lambda: observe(fleet, "one")["calls"], "the call")
+    backend.process.kill()
+    answer = router.read_answer()
+    assert answer.status == 502
+    assert find_refusal(answer) == (b"connection-lost", b"unknown")
+    router.close()
+
+
+def test_an_answer_that_is_cut_is_visibly_cut(fleet):
+    entry, guard = start_lone_fleet(fleet)
+    for node in (entry, guard):
+        for framing in ("length", "chunked"):
+            router = Router(node.entry)
+            path = f"/catalogue?size={50 * MB}&framing={framing}"
+            router._sock.sendall(build_request(path, TOKEN))
+            assert router._sock.recv(1000).startswith(b"HTTP/1.1 200")
+            fleet.backends[-1].process.kill()
+            received = b""
+            with pytest.raises((CutAnswerError, ConnectionError)):  # noqa: PT012
+                while True:
+                    part = router._sock.recv(MB)
+                    if not part:
+                        raise CutAnswerError
+                    received = received[-10:] + part
+            assert not received.endswith(b"0\r\n\r\n")
+            router.close()
+            name = f"again-{node.name}-{framing}"
+            fleet.start_backend(name, "catalogue", guard)
+            fleet.wait_for(
+                lambda node=node: call(node.entry, "/catalogue").status == 200,
+                "service again",
+            )
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_planned_stop_cuts_no_call(fleet, number):
+    entry, guard = start_lone_fleet(fleet, "--service_ms=400")
+    router = Router(entry.entry)
+    idle = Router(entry.entry)
+    router._sock.sendall(build_request("/catalogue", TOKEN, "POST"))
+    fleet.wait_for(lambda: observe(fleet, "one")["calls"], "the call")
+    for node in (entry, guard):
+        node.process.send_signal(number)
+    answer = router.read_answer()
+    assert answer.status == 200
+    assert answer.find(b"connection") == b"close"
+    assert idle._sock.recv(10) == b""
+    assert [node.process.wait(15) for node in (entry, guard)] == [0, 0]
+    with pytest.raises(OSError, match="refused"):
+        Router(entry.entry)
+
+
+def test_slow_callers_are_ended(fleet):
+    entry, _guard = start_lone_fleet(fleet, head_timeout_ms=150, idle_timeout_ms=300)
+    router = Router(entry.entry)
+    router._sock.sendall(b"GET /catalogue HTTP/1.1\r\nHos")
+    answer = router.read_answer()
+    assert find_refusal(answer) == (b"head-timeout", b"not-run")
+    router.close()
+    router = Router(entry.entry)
+    head = build_request("/catalogue", TOKEN, "POST", Content_Length="100")
+    router._sock.sendall(head + b"begun")
+    answer = router.read_answer()
+    assert answer.status == 408
+    assert find_refusal(answer)[0] == b"body-timeout"
+    router.close()
+    silent = Router(entry.entry)
+    assert silent._sock.recv(10) == b""
+    silent.close()
+
+
+def test_a_caller_may_wait_to_be_asked_for_the_body(trio):
+    router = Router(trio.nodes[2].entry)
+    head = build_request(
+        "/catalogue", TOKEN, "POST", Content_Length="5", Expect="100-continue"
+    )
+    router._sock.sendall(head)
+    assert router._sock.recv(100) == b"HTTP/1.1 100 Continue\r\n\r\n"
+    assert router.call(b"hello").body.startswith(b"POST /catalogue 5")
+    refused = build_request(
+        "/other", TOKEN, "POST", Content_Length="500000", Expect="100-continue"
+    )
+    assert router.call(refused).status == 403
+    router.close()
+
+
+def test_callers_beyond_the_limit_are_refused(fleet):
+    entry, _guard = start_lone_fleet(fleet, max_caller_connections=3)
+    kept = [Router(entry.entry) for _ in range(3)]
+    for router in kept:
+        assert router.call(build_request("/catalogue", TOKEN)).status == 200
+    extra = Router(entry.entry)
+    assert find_refusal(extra.read_answer()) == (b"too-many-connections", b"not-run")
+    with pytest.raises((CutAnswerError, OSError)):
+        extra.call(build_request("/catalogue", TOKEN))
+    for router in (*kept, extra):
+        router.close()
+
+
+def test_an_answer_without_a_length_is_refused(fleet):
+    entry, guard = start_lone_fleet(fleet)
+    listener = socket.create_server(("127.0.0.1", 0))
+    port = listener.getsockname()[1]
+    fleet.post_json(
+        guard.operator,
+        "/announce",
+        {
+            "server": "raw",
+            "service": "catalogue",
+            "version": "1",
+            "address": f"127.0.0.1:{port}",
+            "slots": 1,
+            "connections": 1,
+        },
+    )
+    fleet.wait_for_servers("catalogue", 2)
+    fleet.backends[0].process.kill()
+    fleet.backends[0].process.wait()
+    router = Router(entry.entry)
+    router._sock.sendall(build_request("/catalogue", TOKEN, "POST"))
+    listener.settimeout(10)
+    connection, _address = listener.accept()
+    connection.recv(10_000)
+    connection.sendall(b"HTTP/1.1 200 OK\r\n\r\nperhaps whole")
+    connection.close()
+    answer = router.read_answer()
+    assert find_refusal(answer) == (b"bad-answer", b"unknown")
+    router.close()
+    listener.close()
--- /dev/null
+++ b/tests/test_forwarding/test_parsing.py
@@ -0,0 +1,192 @@
+from __future__ import annotations
+
+import pytest
+
+from monsoontray.decisions.outcomes import Reason
+from monsoontray.forwarding.heads import (
+    END_OF_MESSAGE,
+    AnswerHead,
+    Framing,
+    RequestHead,
+    encode_request,
+)
+from monsoontray.forwarding.parsing import (
+    AnswerParser,
+    HeadLimits,
+    Malformed,
+    RequestParser,
+    is_framed,
+)
+
+LIMITS = HeadLimits(header_count=20, head_bytes=2_000)
+START = b"POST /orders HTTP/1.1\r\nHost: shop\r\n"
+
+
+def parse(data: bytes):
+    return RequestParser(LIMITS).feed(data)
+
+
+def parse_answer(data: bytes, method: str = "GET"):
+    parser = AnswerParser(LIMITS)
+    parser.expect_answer(method)
+    return parser.feed(data)
+
+
+def test_a_request_is_read_and_written_anew():
+    raw = START + b"X-A:  b \r\nContent-Length: 3\r\n\r\nabc"
+    head, body, end = parse(raw)
+    assert isinstance(head, RequestHead)
+    assert (body, end) == (b"abc", END_OF_MESSAGE)
+    written = encode_request(
+        head.method, head.target, head.lines, head.framing, head.length
+    )
+    assert written == (
+        b"POST /orders HTTP/1.1\r\nx-a: b\r\nhost: shop\r\ncontent-length: 3\r\n\r\n"
+    )
+
+
+def test_hop_by_hop_and_own_headers_do_not_pass():
+    raw = START + (
+        b"Connection: X-Secret, keep-alive\r\nX-Secret: 1\r\nKeep-Alive: 5\r\n"
+        b"TE: trailers\r\nProxy-Authorization: x\r\nMonsoontray-Customer: forged\r\n"
+        b"X-Kept: 1\r\n\r\n"
+    )
+    head = parse(raw)[0]
+    assert head.lines == [b"x-kept: 1\r\n", b"host: shop\r\n"]
+    assert head.own == {b"monsoontray-customer": b"forged"}
+
+
+def test_requests_may_come_byte_by_byte_and_back_to_back():
+    raw = START + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: x\r\n\r\n"
+    parser = RequestParser(LIMITS)
+    events = []
+    for byte in raw + raw:
+        events += parser.feed(bytes((byte,)))
+    heads = [event for event in events if isinstance(event, RequestHead)]
+    assert len(heads) == 2
+    assert all(head.framing is Framing.CHUNKED for head in heads)
+    assert all(head.lines == [b"host: shop\r\n"] for head in heads)
+    assert events.count(END_OF_MESSAGE) == 2
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        START + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+        START + b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+        START + b"Content-Length: 3, 3\r\n\r\nabc",
+        START + b"Content-Length: +3\r\n\r\nabc",
+        START + b"Content-Length: 0x3\r\n\r\nabc",
+        START + b"Content-Length: 9999999999999999\r\n\r\n",
+        START + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        START + b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+        START + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        START + b"Transfer-Encoding: chunked, identity\r\n\r\n",
+        START + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+        START + b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+        START + b"Transfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n",
+        START + b"Transfer-Encoding: chunked\r\n\r\n-3\r\nabc\r\n0\r\n\r\n",
+        START + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+        START + b"X-A: b\r\n c\r\n\r\n",
+        START + b"X-A: b\n\r\n",
+        START + b"X-A: b\x00c\r\n\r\n",
+        START + b"X A: b\r\n\r\n",
+        START + b"Host: other\r\n\r\n",
+        b"POST /orders HTTP/1.1\r\n\r\n",
+        b"POST /orders HTTP/2.0\r\nHost: shop\r\n\r\n",
+        b"POST /orders\r\n\r\n",
+        b"POST /orders HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST /orders HTTP/1.1\nHost: shop\n\n",
+    ],
+)
+def test_what_two_parsers_may_read_differently_is_refused(raw):
+    events = parse(raw)
+    assert events
+    assert isinstance(events[-1], Malformed)
+    assert events[-1].reason is Reason.BAD_REQUEST
+    assert END_OF_MESSAGE not in events
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        START + b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n",
+        START + b"Upgrade: h2c\r\n\r\n",
+        b"CONNECT shop:443 HTTP/1.1\r\nHost: shop\r\n\r\n",
+    ],
+)
+def test_upgrades_and_tunnels_are_not_served(raw):
+    events = parse(raw)
+    assert isinstance(events[-1], Malformed)
+    assert events[-1].reason is Reason.UNSUPPORTED
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        START + b"".join(b"X-%d: 1\r\n" % i for i in range(30)) + b"\r\n",
+        START + b"X-A: " + b"a" * 3_000 + b"\r\n\r\n",
+        START + b"X-A: " + b"a" * 3_000,
+        b"GET /" + b"a" * 3_000 + b" HTTP/1.1\r\nHost: shop\r\n\r\n",
+    ],
+)
+def test_heads_are_bounded(raw):
+    events = parse(raw)
+    assert isinstance(events[-1], Malformed)
+    assert events[-1].reason is Reason.HEAD_TOO_LARGE
+
+
+def test_a_head_in_many_pieces_is_bounded_as_well():
+    parser = RequestParser(LIMITS)
+    events = parser.feed(START)
+    for _ in range(300):
+        events += parser.feed(b"X-A: aaaa\r\n")
+    assert isinstance(events[0], Malformed)
+
+
+def test_trailers_and_chunk_extensions_are_bounded():
+    for tail in (b"0\r\nT: ", b"3;x="):
+        parser = RequestParser(LIMITS)
+        parser.feed(START + b"Transfer-Encoding: chunked\r\n\r\n")
+        events = []
+        for _ in range(300):
+            events += parser.feed(tail)
+            tail = b"a" * 100
+        assert any(isinstance(event, Malformed) for event in events)
+
+
+def test_an_informational_answer_is_dropped():
+    raw = b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"
+    head, end = parse_answer(raw)
+    assert (head.status, head.lines, end) == (204, [], END_OF_MESSAGE)
+
+
+def test_an_answer_to_head_has_no_body():
+    parser = AnswerParser(LIMITS)
+    raw = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+    for method, rest, count in (("HEAD", b"", 2), ("GET", b"hello", 3)):
+        parser.expect_answer(method)
+        events = parser.feed(raw + rest)
+        assert len(events) == count
+        assert events[-1] == END_OF_MESSAGE
+
+
+def test_an_answer_without_a_length_cannot_pass_for_whole():
+    head = parse_answer(b"HTTP/1.1 200 OK\r\n\r\nhello")[0]
+    assert isinstance(head, AnswerHead)
+    assert not is_framed(head)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nhello",
+        b"garbage\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX: " + b"a" * 3_000,
+    ],
+)
+def test_a_malformed_answer_is_refused(raw):
+    events = parse_answer(raw)
+    assert isinstance(events[-1], Malformed)
+    assert events[-1].reason is Reason.BAD_ANSWER
--- /dev/null
+++ b/tests/test_kernel/test_kernel.py
@@ -0,0 +1,140 @@
+from __future__ import annotations
+
+import pytest
+
+from monsoontray.kernel.clock import ManualClock, SystemClock
+from monsoontray.kernel.errors import (
+    DuplicateServiceError,
+    ReplyTimeoutError,
+    UnknownServiceError,
+)
+from monsoontray.kernel.kernel import (
+    RESTART_LIMIT,
+    DeathPolicy,
+    Kernel,
+    Registration,
+)
+from monsoontray.kernel.mailbox import Reply
+from monsoontray.kernel.messages import StopRequested, TaskDied
+from monsoontray.kernel.task import Task
+
+
+class Recorder:
+    """Record when it is started and stopped."""
+
+    def __init__(self, name: str, events: list[str]) -> None:
+        self.name = name
+        self.events = events
+
+    def start(self) -> None:
+        self.events.append(f"start {self.name}")
+
+    def stop(self, deadline: float) -> None:
+        self.events.append(f"stop {self.name}")
+
+    def post(self, message: object) -> None:
+        self.events.append(f"{self.name} takes {message}")
+
+
+def register(kernel: Kernel, name: str, requires: tuple[str, ...], events: list[str]):
+    kernel.register(Registration(name, requires, lambda k: Recorder(name, events)))
+
+
+def test_services_start_in_dependency_order_and_stop_in_reverse():
+    events: list[str] = []
+    kernel = Kernel(SystemClock())
+    register(kernel, "c", ("b",), events)
+    register(kernel, "a", (), events)
+    register(kernel, "b", ("a",), events)
+    kernel.start()
+    kernel.stop()
+    starts = ["start a", "start b", "start c"]
+    assert events == [*starts, "stop c", "stop b", "stop a"]
+
+
+def test_services_find_each_other_by_name():
+    events: list[str] = []
+    kernel = Kernel(SystemClock())
+    register(kernel, "a", (), events)
+    kernel.start()
+    kernel.post("a", "hello")
+    assert events[-1] == "a takes hello"
+    with pytest.raises(UnknownServiceError, match="'b'"):
+        kernel.find("b")
+
+
+def test_a_name_is_registered_once():
+    kernel = Kernel(SystemClock())
+    register(kernel, "a", (), [])
+    with pytest.raises(DuplicateServiceError, match="'a'"):
+        register(kernel, "a", (), [])
+
+
+def test_a_missing_requirement_is_named():
+    kernel = Kernel(SystemClock())
+    register(kernel, "a", ("ghost",), [])
+    with pytest.raises(UnknownServiceError, match="'ghost'"):
+        kernel.start()
+
+
+def test_a_reply_has_a_deadline():
+    clock = ManualClock(5.0)
+    with pytest.raises(ReplyTimeoutError):
+        Reply(clock).take(5.0)
+
+
+class Doubler(Task):
+    """Double numbers; dies of anything else."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__("doubler", kernel, double)
+
+
+def double(message, task):
+    number, reply = message
+    reply.put(number * 2)
+
+
+def ask_doubler(kernel: Kernel, number: object) -> object:
+    deadline = kernel.clock.now() + 5.0
+    return kernel.ask("doubler", lambda reply: (number, reply), deadline)
+
+
+def test_a_dead_task_is_restarted_and_found_again():
+    kernel = Kernel(SystemClock())
+    policy = DeathPolicy.RESTART
+    kernel.register(Registration("doubler", (), Doubler, policy))
+    kernel.start()
+    first = kernel.find("doubler")
+    kernel.post("doubler", "not a pair")
+    died = kernel._mailbox.take(kernel.clock.now() + 5.0)
+    assert isinstance(died, TaskDied)
+    kernel.post_to_kernel(died)
+    kernel.post_to_kernel(StopRequested("test"))
+    kernel.run()
+    assert kernel.find("doubler") is not first
+    assert ask_doubler(kernel, 21) == 42
+    assert not kernel.failed
+    kernel.stop()
+
+
+def test_a_task_that_dies_too_often_stops_the_node():
+    kernel = Kernel(ManualClock(0.0))
+    registration = Registration(
+        "a", (), lambda k: Recorder("a", []), DeathPolicy.RESTART
+    )
+    kernel.register(registration)
+    kernel.start()
+    for _ in range(RESTART_LIMIT + 1):
+        kernel.post_to_kernel(TaskDied("a", RuntimeError("fault")))
+    kernel.run()
+    assert kernel.failed
+
+
+def test_the_death_of_a_vital_task_stops_the_node():
+    kernel = Kernel(SystemClock())
+    register(kernel, "a", (), [])
+    kernel.start()
+    kernel.post_to_kernel(TaskDied("a", RuntimeError("fault")))
+    kernel.run()
+    assert kernel.failed
--- /dev/null
+++ b/tests/test_settings/test_settings.py
@@ -0,0 +1,88 @@
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from monsoontray.settings.errors import SettingsError
+from monsoontray.settings.page import render_page
+from monsoontray.settings.settings import check_settings, load_settings, parse_address
+
+ROOT = Path(__file__).parents[2]
+MINIMAL = {
+    "node": "node-1",
+    "region": "norte",
+    "zone": "zone-a",
+    "entry_address": "10.0.0.1:7001",
+    "guard_address": "10.0.0.1:7002",
+    "peer_address": "10.0.0.1:7003",
+    "operator_address": "10.0.0.1:7004",
+    "store_endpoints": ["http://10.0.0.9:2379"],
+}
+
+
+def test_defaults_fill_what_a_file_leaves_out(tmp_path):
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(MINIMAL))
+    settings = load_settings(path)
+    assert settings.get_text("zone") == "zone-a"
+    assert settings.get_seconds("call_timeout_ms") == 30.0
+    assert settings.get_bind_address("guard_address").port == 7002
+
+
+def test_a_bind_address_is_where_the_node_listens():
+    settings = check_settings({**MINIMAL, "guard_bind_address": "127.0.0.1:9"})
+    assert settings.get_bind_address("guard_address").port == 9
+    assert settings.get_address("guard_address").port == 7002
+
+
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        ({"zome": "a"}, ("'zome'", "'a'", "'zone'")),
+        ({"call_timeout_ms": 0}, ("'call_timeout_ms'", "1 to 3600000 ms", "0")),
+        ({"call_timeout_ms": "5"}, ("'call_timeout_ms'", "whole number", "'5'")),
+        ({"call_timeout_ms": True}, ("'call_timeout_ms'", "True")),
+        ({"call_timeout_ms": 2.5}, ("'call_timeout_ms'", "2.5")),
+        ({"node": ""}, ("'node'", "empty")),
+        ({"entry_address": "10.0.0.1"}, ("'entry_address'", "IP:PORT")),
+        ({"entry_address": "10.0.0.1:99999"}, ("'entry_address'", "65535")),
+        ({"log_format": "xml"}, ("'log_format'", "human, json", "'xml'")),
+        ({"store_endpoints": []}, ("'store_endpoints'", "empty")),
+        ({"store_endpoints": [7]}, ("'store_endpoints'", "7")),
+        ({"seeds": ["nowhere"]}, ("'seeds'", "'nowhere'")),
+    ],
+)
+def test_a_bad_setting_is_named_with_its_value(change, words):
+    with pytest.raises(SettingsError) as caught:
+        check_settings({**MINIMAL, **change})
+    for word in words:
+        assert word in str(caught.value)
+
+
+def test_a_missing_setting_is_named():
+    document = {key: value for key, value in MINIMAL.items() if key != "zone"}
+    with pytest.raises(SettingsError, match="'zone' is missing"):
+        check_settings(document)
+
+
+@pytest.mark.parametrize("content", ["{", "[]", "\xff"])
+def test_a_file_that_is_no_object_is_refused(tmp_path, content):
+    path = tmp_path / "node.json"
+    path.write_text(content, encoding="latin-1")
+    with pytest.raises(SettingsError):
+        load_settings(path)
+
+
+def test_an_address_is_read_whole():
+    address = parse_address("127.0.0.1:80")
+    assert (address.host, address.port, str(address)) == (
+        "127.0.0.1",
+        80,
+        "127.0.0.1:80",
+    )
+
+
+def test_the_reference_page_is_made_from_the_declarations():
+    assert (ROOT / "docs" / "SETTINGS.md").read_text() == render_page()
--- /dev/null
+++ b/tests/test_store/test_http.py
@@ -0,0 +1,144 @@
+from __future__ import annotations
+
+import threading
+
+import pytest
+
+from bench.fleet import Fleet
+from monsoontray.kernel.clock import SystemClock
+from monsoontray.store.http import HttpStoreClient
+from monsoontray.store.outcomes import (
+    ABSENT,
+    Cause,
+    Conflict,
+    Done,
+    Lease,
+    NotDone,
+    Record,
+    Unchanged,
+    Unknown,
+)
+
+TIMEOUT_S = 2.0
+
+
+@pytest.fixture(scope="module")
+def store():
+    with Fleet() as fleet:
+        fleet.start_store()
+        yield fleet
+
+
+@pytest.fixture
+def client(store):
+    store.post_json(store.store_address, "/control", {})
+    client = HttpStoreClient(
+        [f"http://{store.store_address}"], TIMEOUT_S, SystemClock()
+    )
+    yield client
+    client.close()
+
+
+def set_faults(store, **faults):
+    store.post_json(store.store_address, "/control", faults)
+
+
+def test_a_key_is_written_by_compare_and_swap(client):
+    assert client.get("a/b") == Record("a/b", ABSENT, b"")
+    written = client.compare_and_swap("a/b", ABSENT, b"one")
+    assert isinstance(written, Done)
+    assert client.get("a/b") == Record("a/b", written.revision, b"one")
+    assert client.compare_and_swap("a/b", ABSENT, b"two") == Conflict(written.revision)
+    assert isinstance(client.compare_and_swap("a/b", written.revision, b"two"), Done)
+
+
+def test_values_up_to_a_megabyte_are_held(client):
+    value = bytes(range(256)) * 4096
+    assert isinstance(client.compare_and_swap("large", ABSENT, value), Done)
+    assert client.get("large").value == value
+    too_large = client.compare_and_swap("larger", ABSENT, value + b"x" * 10)
+    assert too_large == NotDone(Cause.REFUSED)
+
+
+def test_a_key_vanishes_with_its_lease(client, store):
+    lease = client.grant_lease(60.0)
+    assert isinstance(lease, Lease)
+    assert isinstance(client.compare_and_swap("held", ABSENT, b"me", lease.lease), Done)
+    assert isinstance(client.renew_lease(lease.lease, 60.0), Lease)
+    set_faults(store, lapse=True)
+    assert client.get("held").revision == ABSENT
+    assert client.renew_lease(lease.lease, 60.0) == NotDone(Cause.LEASE_LAPSED)
+    late = client.compare_and_swap("held", ABSENT, b"me", lease.lease)
+    assert late == NotDone(Cause.LEASE_LAPSED)
+
+
+def test_a_lease_that_is_given_back_frees_its_key(client):
+    lease = client.grant_lease(60.0)
+    client.compare_and_swap("given", ABSENT, b"me", lease.lease)
+    assert isinstance(client.end_lease(lease.lease), Done)
+    assert client.get("given").revision == ABSENT
+
+
+def test_a_watch_returns_at_the_change(client, store):
+    first = client.compare_and_swap("watched", ABSENT, b"1")
+    other = HttpStoreClient([f"http://{store.store_address}"], 2.0, SystemClock())
+    writer = threading.Timer(
+        0.05, other.compare_and_swap, ("watched", first.revision, b"2")
+    )
+    writer.start()
+    seen = client.watch("watched", first.revision, 10.0)
+    writer.join()
+    assert seen.value == b"2"
+    assert client.watch("watched", seen.revision, 0.05) == Unchanged()
+
+
+def test_every_call_is_counted_and_a_waiting_watch_as_one(client, store):
+    before = store.get_json(store.store_address, "/observed")["counts"]
+    client.get("counted")
+    client.watch("counted", ABSENT, 0.05)
+    after = store.get_json(store.store_address, "/observed")["counts"]
+    assert after["read"] - before.get("read", 0) == 1
+    assert after["watch"] - before.get("watch", 0) == 1
+
+
+def test_a_lost_answer_to_a_write_is_unknown_and_the_write_took_effect(client, store):
+    set_faults(store, lose_answers=True)
+    outcome = client.compare_and_swap("lost", ABSENT, b"written")
+    assert outcome == Unknown(Cause.CONNECTION_LOST)
+    assert client.get("lost").value == b"written"
+
+
+def test_an_outage_is_told_apart_from_a_lost_write(client, store):
+    set_faults(store, out=True)
+    assert client.get("any") == NotDone(Cause.CONNECTION_LOST)
+    assert isinstance(client.compare_and_swap("any", ABSENT, b"x"), Unknown)
+    assert isinstance(client.watch("any", ABSENT, 0.1), NotDone)
+    set_faults(store)
+    assert client.get("any").revision == ABSENT
+
+
+def test_a_refused_call_has_no_effect(client, store):
+    set_faults(store, writes_per_s=0.5)
+    outcome = client.compare_and_swap("busy", ABSENT, b"x")
+    assert outcome == NotDone(Cause.OVERLOADED)
+    assert client.get("busy").revision == ABSENT
+
+
+def test_a_slow_store_times_out(store):
+    set_faults(store, latency_ms=400)
+    client = HttpStoreClient([f"http://{store.store_address}"], 0.1, SystemClock())
+    assert client.get("slow") == NotDone(Cause.TIMEOUT)
+    slow_write = client.compare_and_swap("slow", ABSENT, b"x")
+    assert slow_write == Unknown(Cause.TIMEOUT)
+    client.close()
+
+
+def test_an_unreachable_endpoint_is_followed_by_the_next(store):
+    set_faults(store)
+    unreachable = f"http://127.0.0.1:{store.reserve_port()}"
+    endpoints = [unreachable, f"http://{store.store_address}"]
+    client = HttpStoreClient(endpoints, 0.5, SystemClock())
+    outcome = client.compare_and_swap("next", ABSENT, b"x")
+    assert outcome == NotDone(Cause.UNREACHABLE)
+    assert isinstance(client.compare_and_swap("next", ABSENT, b"x"), Done)
+    client.close()
--- /dev/null
+++ b/tests/trio.py
@@ -0,0 +1,45 @@
+"""A fleet of three zones that integration tests share."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from bench.caller import Answer, Router, build_request
+from bench.fleet import Fleet
+
+TOKEN = "token-of-the-tests"
+ZONES = ("zone-a", "zone-b", "zone-c")
+SERVICES = ("catalogue", "slow", "nowhere")
+
+
+def start_trio(fleet: Fleet, **settings: Any) -> None:
+    """Start a store, three nodes and three backend servers."""
+    fleet.start_store()
+    for i, zone in enumerate(ZONES):
+        fleet.start_node(fleet.add_node(f"node-{i}", zone, **settings))
+    for node in fleet.nodes:
+        fleet.wait_for_node(node)
+    fleet.start_backend("catalogue-0", "catalogue", fleet.nodes[0])
+    fleet.start_backend("catalogue-1", "catalogue", fleet.nodes[1])
+    fleet.start_backend(
+        "slow-0", "slow", fleet.nodes[0], "--slots=2", "--service_ms=200"
+    )
+    fleet.wait_for_servers("catalogue", 2)
+    fleet.wait_for_servers("slow", 1)
+
+
+def call(address: str, path: str, method: str = "GET", **options: Any) -> Answer:
+    """Send one call over a connection of its own."""
+    router = Router(address)
+    try:
+        return router.call(build_request(path, TOKEN, method, **options))
+    finally:
+        router.close()
+
+
+def observe(fleet: Fleet, server: str) -> Any:
+    """Return what a backend server saw."""
+    for backend in fleet.backends:
+        if backend.name == server:
+            return fleet.get_json(backend.address, "/_observed")
+    raise LookupError(server)
