--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -19,6 +19,10 @@
 
 PART_BYTES = 65_536
 ANY = "*"
+_SOCKET_TABLES = (
+    ("/proc/net/tcp", "0100007F"),
+    ("/proc/net/tcp6", "0000000000000000FFFF00000100007F"),
+)
 
 
 class LinkBody(msgspec.Struct):
@@ -225,13 +229,16 @@
 
 
 def _find_inode(port: int) -> str:
-    """Return the inode of the loopback socket that is bound to a port."""
-    wanted = f"0100007F:{port:04X}"
-    with open("/proc/net/tcp") as table:
-        for line in table:
-            cells = line.split()
-            if cells[1] == wanted:
-                return cells[9]
+    """Return the inode of the loopback socket that is bound to a port.
+
+    Some clients open sockets of the newer family to reach IPv4 addresses.
+    """
+    for table, prefix in _SOCKET_TABLES:
+        with open(table) as lines:
+            for line in lines:
+                cells = line.split()
+                if cells[1] == f"{prefix}:{port:04X}":
+                    return cells[9]
     return ""
 
 
--- /dev/null
+++ b/tests/test_configuration/test_versions.py
@@ -0,0 +1,147 @@
+"""Versions across real nodes behind the fault-injecting proxy."""
+
+from __future__ import annotations
+
+import base64
+import json
+import signal
+
+import msgspec
+
+from bench.fleet import Fleet
+from bench.lists import build_customer, build_lists, build_plan, build_route
+from tests.trio import TOKEN, ZONES, call
+
+
+def start(fleet: Fleet, count: int, **settings) -> None:
+    fleet.start_store()
+    fleet.start_proxy()
+    for i in range(count):
+        fleet.start_node(fleet.add_node(f"node-{i}", ZONES[i % 3], **settings))
+    fleet.label_processes()
+    for node in fleet.nodes:
+        fleet.wait_for_node(node)
+    fleet.start_backend("one", "catalogue", fleet.nodes[0])
+    fleet.wait_for_servers("catalogue", 1)
+
+
+def propose(fleet: Fleet, number: int, node: int = 0):
+    lists = build_lists(
+        [build_customer("router", "plan", TOKEN)],
+        [build_plan("plan", [build_route(f"/v{number}", "catalogue")])],
+        ["catalogue"],
+    )
+    proposal = {"based_on": number - 1, "author": "test", "lists": lists}
+    return fleet.post_json(fleet.nodes[node].operator, "/config", proposal)["outcome"]
+
+
+def read_version(fleet: Fleet, node) -> int:
+    status = fleet.get_json(node.operator, "/status")
+    return -1 if status is None else status["version"]
+
+
+def test_a_node_that_restarts_with_the_store_out_serves_no_older_version(fleet):
+    start(fleet, 4)
+    for number in (1, 2):
+        assert propose(fleet, number) == "accepted"
+        fleet.wait_for_version(number)
+    node = fleet.nodes[3]
+    fleet.kill_node(node)
+    seeds = [each.peer for each in fleet.nodes[:3]]
+    document = json.loads(node.settings_file.read_text())
+    node.settings_file.write_text(json.dumps({**document, "seeds": seeds}))
+    fleet.post_json(fleet.store_address, "/control", {"out": True})
+    fleet.start_node(node)
+    fleet.wait_for_node(node)
+    seen = {read_version(fleet, node)}
+
+    def is_current() -> bool:
+        seen.add(read_version(fleet, node))
+        return 2 in seen
+
+    fleet.wait_for(is_current, "version 2 without the store")
+    assert seen <= {0, 2}
+    assert call(node.entry, "/v2").status == 200
+    assert call(node.entry, "/v1").status == 403
+
+
+def test_nodes_serve_on_through_an_outage_and_catch_up_after_it(fleet):
+    start(fleet, 3)
+    assert propose(fleet, 1) == "accepted"
+    fleet.wait_for_version(1)
+    fleet.post_json(fleet.store_address, "/control", {"out": True})
+    for node in fleet.nodes:
+        assert call(node.entry, "/v1").status == 200
+    assert propose(fleet, 2) in ("not-done", "unknown")
+    fleet.post_json(fleet.store_address, "/control", {})
+    fleet.wait_for(lambda: propose(fleet, 2) in ("accepted", "overtaken"), "a change")
+    fleet.wait_for_version(2)
+
+
+def test_a_cut_off_zone_serves_on_and_catches_up_when_it_heals(fleet):
+    start(fleet, 6, watch_lease_ms=1_000, store_timeout_ms=500)
+    fleet.start_backend("two", "catalogue", fleet.nodes[2])
+    fleet.wait_for_servers("catalogue", 2)
+    assert propose(fleet, 1) == "accepted"
+    fleet.wait_for_version(1)
+    cut = ZONES[2]
+    for other in (ZONES[0], ZONES[1], "store"):
+        fleet.set_rule(cut, other, "silence")
+        fleet.set_rule(other, cut, "silence")
+    assert propose(fleet, 2) == "accepted"
+    outside = [node for node in fleet.nodes if node.zone != cut]
+    inside = [node for node in fleet.nodes if node.zone == cut]
+    for node in outside:
+        fleet.wait_for(lambda n=node: read_version(fleet, n) == 2, f"2 at {node.name}")
+    for node in inside:
+        assert read_version(fleet, node) == 1
+        assert call(node.entry, "/v1").status == 200
+    for other in (ZONES[0], ZONES[1], "store"):
+        fleet.set_rule(cut, other, "pass")
+        fleet.set_rule(other, cut, "pass")
+    fleet.wait_for_version(2)
+
+
+def test_a_watcher_that_is_paused_is_replaced_and_takes_nobody_back(fleet):
+    start(fleet, 6, watch_lease_ms=1_000, store_timeout_ms=500)
+    assert propose(fleet, 1) == "accepted"
+    fleet.wait_for_version(1)
+    status = fleet.get_json(fleet.nodes[0].operator, "/status")
+    watching = {node["node"] for node in status["nodes"] if node["watching"]}
+    paused = [node for node in fleet.nodes if node.name in watching]
+    assert len(paused) == 3
+    running = [node for node in fleet.nodes if node.name not in watching]
+    for node in paused:
+        node.process.send_signal(signal.SIGSTOP)
+    index = fleet.nodes.index(running[0])
+    for number in (2, 3):
+        assert propose(fleet, number, index) == "accepted"
+        for node in running:
+            fleet.wait_for(
+                lambda n=node, v=number: read_version(fleet, n) == v,
+                f"version {number} at {node.name}",
+            )
+    for node in paused:
+        node.process.send_signal(signal.SIGCONT)
+    fleet.wait_for_version(3)
+
+
+def test_a_version_in_the_store_that_is_damaged_is_refused_whole(fleet):
+    start(fleet, 2)
+    assert propose(fleet, 1) == "accepted"
+    fleet.wait_for_version(1)
+    url = f"http://{fleet.store_address}/keys/config%2Fhead"
+    head = fleet.http.request("GET", url).json()
+    bad = msgspec.json.encode({"number": 2, "digest": "0" * 64})
+    body = {"revision": head["revision"], "value": base64.b64encode(bad).decode()}
+    answer = fleet.http.request("PUT", url, body=json.dumps(body).encode())
+    assert answer.status == 200
+
+    def is_told() -> bool:
+        status = fleet.get_json(fleet.nodes[0].operator, "/status")
+        return "version 2" in status["refused"]
+
+    fleet.wait_for(is_told, "the refusal")
+    for node in fleet.nodes:
+        assert call(node.entry, "/v1").status == 200
+        assert read_version(fleet, node) == 1
