Shorten the path of a call; drop events after a last answer

Cause: a call through two nodes spends its time in Python that runs cold: the entry side takes 29 us a call back to back and 66 us after a pause of 0.3 ms (trial in one process with sockets replaced); strace counts 2 epoll_wait, 2 recvfrom and 2 sendto a call and node, so system calls are minimal. Change: one clock reading an event, handlers from the singledispatch registry for parser events, one join a header line, tokens hashed once a version, the answer counter without a lock. Fault found on the way: requests pipelined behind a refused last one were still started; now they are dropped.

--- a/monsoontray/decisions/admission.py
+++ b/monsoontray/decisions/admission.py
@@ -38,12 +38,13 @@
 class Entitlements:
     """Index one version for admission; immutable once built."""
 
-    __slots__ = ("_customers", "_plans", "name", "references")
+    __slots__ = ("_by_token", "_customers", "_plans", "name", "references")
 
     def __init__(self, name: VersionName, version: Version | None) -> None:
         self.name = name
         self._customers: dict[str, Customer] = {}
         self._plans: dict[str, PlanRoutes] = {}
+        self._by_token: dict[bytes, Customer] = {}  # tokens seen, valid ones only
         #: Services and resources that the routes of this version point at.
         self.references: frozenset[tuple[str, str]] = frozenset()
         if version is not None:
@@ -61,7 +62,12 @@
 
     def find_customer(self, token: bytes) -> Customer | None:
         """Return the customer whose token this is."""
-        return self._customers.get(hashlib.sha256(token).hexdigest())
+        customer = self._by_token.get(token)
+        if customer is None:
+            customer = self._customers.get(hashlib.sha256(token).hexdigest())
+            if customer is not None:
+                self._by_token[token] = customer
+        return customer
 
     def find_plan(self, plan: str) -> PlanRoutes:
         """Return the routes of a plan."""
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -122,7 +122,7 @@
         assert upstream is not None
         assert hop is not None
         self._sent = True
-        remaining_ms = max(1, int((self.deadline - self.forwarder.clock.now()) * 1000))
+        remaining_ms = max(1, int((self.deadline - self.forwarder.now) * 1000))
         lines = [
             *head.lines,
             *hop.lines,
@@ -212,7 +212,7 @@
         """Act on the loss of the connection that carries the call."""
         self.upstream = None
         if reason is Reason.UNREACHABLE:
-            self.forwarder.loads.avoid(self.server, self.forwarder.clock.now())
+            self.forwarder.loads.avoid(self.server, self.forwarder.now)
         if self._refusal is not None:
             self._follow_refusal(self._refusal)
             return
@@ -263,7 +263,7 @@
         self._finish_attempt(refusal.reason, may_have_run)
 
     def _finish_attempt(self, reason: Reason, may_have_run: bool) -> None:
-        now = self.forwarder.clock.now()
+        now = self.forwarder.now
         attempt = Attempt(
             self.head.method,
             self.attempt,
--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -61,7 +61,7 @@
         self._answer_chunked = False
         self._answer_closes = False
         self._lingering = False
-        self._idle_deadline = forwarder.clock.now() + forwarder.limits.idle_s
+        self._idle_deadline = forwarder.now + forwarder.limits.idle_s
         self._idle_timer: Timer | None = None
         self._arm_idle_timer()
 
@@ -69,18 +69,20 @@
         """Act on received bytes."""
         if self._lingering:
             return
-        now = self.forwarder.clock.now()
-        was_open = self._parser.has_open_head()
-        events = self._parser.feed(data)
-        if self._parser.has_open_head():
-            self._limit_head(now, was_open)
+        parser = self._parser
+        was_open = parser.open_head
+        events = parser.feed(data)
+        if parser.open_head:
+            self._limit_head(was_open)
         else:
-            self._idle_deadline = now + self.forwarder.limits.idle_s
+            self._idle_deadline = self.forwarder.now + self.forwarder.limits.idle_s
         for event in events:
+            if self._lingering or self.closed:
+                return
             if self._pending or (self.call is not None and not self._request_open):
                 self._pending.append(event)
             else:
-                accept_event(event, self)
+                _HANDLERS[event.__class__](event, self)
         if self._pending:
             self.pause_reading()
 
@@ -97,7 +99,7 @@
         if self._lingering:
             self._end_writing()
             return
-        self._idle_deadline = self.forwarder.clock.now() + self.forwarder.limits.idle_s
+        self._idle_deadline = self.forwarder.now + self.forwarder.limits.idle_s
         if self.call is not None:
             self.call.on_caller_sent(self.out_bytes)
 
@@ -207,13 +209,14 @@
         while self._pending:
             if self.call is not None and not self._request_open:
                 return
-            accept_event(self._pending.popleft(), self)
+            event = self._pending.popleft()
+            _HANDLERS[event.__class__](event, self)
 
     def _linger(self) -> None:
         """Read and drop what still arrives, so that the answer is not lost."""
         self._lingering = True
         self._pending.clear()
-        self._idle_deadline = self.forwarder.clock.now() + LINGER_S
+        self._idle_deadline = self.forwarder.now + LINGER_S
         if self._idle_timer is not None:
             self.forwarder.timers.cancel(self._idle_timer)
         self._arm_idle_timer()
@@ -224,10 +227,10 @@
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_WR)
 
-    def _limit_head(self, now: float, was_open: bool) -> None:
+    def _limit_head(self, was_open: bool) -> None:
         if was_open:
             return
-        self._idle_deadline = now + self.forwarder.limits.head_s
+        self._idle_deadline = self.forwarder.now + self.forwarder.limits.head_s
         if self._idle_timer is not None:
             self.forwarder.timers.cancel(self._idle_timer)
         self._arm_idle_timer()
@@ -238,7 +241,7 @@
         )
 
     def _check_idle(self) -> None:
-        now = self.forwarder.clock.now()
+        now = self.forwarder.now
         waits_for_answer = self.call is not None and not self._request_open
         if waits_for_answer and not self.out_bytes:
             self._idle_deadline = now + self.forwarder.limits.idle_s
@@ -246,7 +249,7 @@
             self._arm_idle_timer()
         elif self._lingering or self.out_bytes:
             self.on_lost()
-        elif self._parser.has_open_head():
+        elif self._parser.open_head:
             self.reject(Malformed(Reason.HEAD_TIMEOUT, "the head came too slowly"))
         elif self.call is not None:
             self.reject(Malformed(Reason.BODY_TIMEOUT, "the body came too slowly"))
@@ -278,3 +281,7 @@
 @accept_event.register(Malformed)
 def _(event: Malformed, caller: CallerConnection) -> None:
     caller.reject(event)
+
+
+#: Handlers of ``accept_event`` by the exact type of the event.
+_HANDLERS = accept_event.registry
--- a/monsoontray/forwarding/connection.py
+++ b/monsoontray/forwarding/connection.py
@@ -26,6 +26,7 @@
         "dirty",
         "forwarder",
         "out_bytes",
+        "paused",
         "sock",
     )
 
@@ -36,6 +37,7 @@
         self.forwarder = forwarder
         self.closed = False
         self.dirty = False
+        self.paused = False  # bytes are left in the socket
         self.out_bytes = 0
         self._unwritable = False
         self._out: list[bytes] = []
@@ -88,11 +90,13 @@
 
     def pause_reading(self) -> None:
         """Leave further bytes in the socket."""
+        self.paused = True
         self._set_events(self._events & ~READABLE)
 
     def resume_reading(self) -> None:
         """Read again."""
-        if not self.closed:
+        if self.paused and not self.closed:
+            self.paused = False
             self._set_events(self._events | READABLE)
 
     def close(self) -> None:
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -99,7 +99,7 @@
         self.kernel.post("membership", NodeLeaves())
         for listener in self._listeners:
             listener.close()
-        now = self.clock.now()
+        now = self.now
         self.timers.add(min(deadline, now + IDLE_CLOSE_S), self._close_idle)
         self.timers.add(deadline, self.end)
 
@@ -137,7 +137,7 @@
             self.log_refusal(route, call_id, "", "")
             caller.refuse(route, call_id)
             return
-        deadline = self.clock.now() + self._find_timeout(head)
+        deadline = self.now + self._find_timeout(head)
         call = Call(self, caller, head, route, call_id, deadline)
         self._calls.add(call)
         caller.call = call
@@ -150,7 +150,7 @@
 
     def release_slot(self, guard: GuardState) -> None:
         """Free a slot and pass it to the call that waits for it."""
-        waiting = guard.release_slot(self.clock.now())
+        waiting = guard.release_slot(self.now)
         if waiting is not None:
             use_slot(waiting, guard)
 
@@ -161,7 +161,7 @@
 
     def use_local_servers(self, message: GuardServers) -> None:
         """Guard the backend servers that are on this VM now."""
-        now = self.clock.now()
+        now = self.now
         names = {local.record.server for local in message.servers}
         for name in self.guards.keys() - names:
             guard = self.guards.pop(name)
@@ -203,7 +203,7 @@
 
     def count_answer(self) -> None:
         """Count a whole answer."""
-        self.metrics.count_answer()
+        self.metrics.answers += 1
 
     def count_cancelled(self) -> None:
         """Count a call whose caller has gone."""
--- a/monsoontray/forwarding/framing.py
+++ b/monsoontray/forwarding/framing.py
@@ -50,7 +50,7 @@
         elif name.startswith(OWN_PREFIX):
             self.own[name] = value
         else:
-            self.lines.append(b"%b: %b\r\n" % (name, value))
+            self.lines.append(b"".join((name, b": ", value, b"\r\n")))
 
     def count_headers(self) -> int:
         """Return how many headers were taken."""
--- a/monsoontray/forwarding/heads.py
+++ b/monsoontray/forwarding/heads.py
@@ -69,7 +69,7 @@
 
 def encode_line(name: bytes, value: bytes) -> bytes:
     """Return a header as a line."""
-    return b"%b: %b\r\n" % (name, value)
+    return b"".join((name, b": ", value, b"\r\n"))
 
 
 def encode_request(
--- a/monsoontray/forwarding/parsing.py
+++ b/monsoontray/forwarding/parsing.py
@@ -53,10 +53,10 @@
         "_events",
         "_fed",
         "_limits",
-        "_open_head",
         "_parser",
         "_target",
         "_unread",
+        "open_head",
     )
 
     def __init__(self, limits: HeadLimits) -> None:
@@ -65,7 +65,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._events: list[RequestEvent] = []
         self._target = b""
-        self._open_head = False
+        self.open_head = False  # part of a head has been received
         self._fed = 0  # bytes being read now
         self._unread = 0  # bytes read before, since the last event
 
@@ -86,15 +86,11 @@
             events.append(Malformed(Reason.HEAD_TOO_LARGE, detail))
         return events
 
-    def has_open_head(self) -> bool:
-        """Say whether part of a head has been received."""
-        return self._open_head
-
     def on_message_begin(self) -> None:
         """Prepare for the next message."""
         self.begin_headers()
         self._target = b""
-        self._open_head = True
+        self.open_head = True
 
     def on_url(self, part: bytes) -> None:
         """Collect the request target."""
@@ -104,7 +100,7 @@
 
     def on_headers_complete(self) -> None:
         """Emit the head."""
-        self._open_head = False
+        self.open_head = False
         _check_limits(self, self._limits, self._unread + self._fed)
         parser = self._parser
         framing, length = find_request_framing(self, parser.get_http_version())
--- a/monsoontray/forwarding/routes.py
+++ b/monsoontray/forwarding/routes.py
@@ -63,7 +63,7 @@
         forwarder.place,
         call.tried,
         forwarder.loads,
-        forwarder.clock.now(),
+        forwarder.now,
         forwarder.random,
     )
     if endpoint is None:
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -42,7 +42,7 @@
         self.spent = False  # no further request may be sent on it
         self._keep_alive = True
         self._parser = AnswerParser(forwarder.limits.head)
-        deadline = forwarder.clock.now() + forwarder.limits.connect_s
+        deadline = forwarder.now + forwarder.limits.connect_s
         self._connect_timer: Timer | None = forwarder.timers.add(
             deadline, self._give_up_connecting
         )
@@ -62,14 +62,14 @@
     def on_data(self, data: bytes) -> None:
         """Act on received bytes."""
         events = self._parser.feed(data)
-        if END_OF_MESSAGE in events[:-1]:
+        if len(events) > 1 and END_OF_MESSAGE in events[:-1]:
             self.spent = True
         for event in events:
             if self.call is None:
                 # Bytes that no request asked for must not pass for an answer.
                 self.close()
                 return
-            accept_event(event, self)
+            _HANDLERS[event.__class__](event, self)
 
     def on_lost(self) -> None:
         """Tell the call that its connection has ended."""
@@ -213,3 +213,7 @@
 @accept_event.register(Malformed)
 def _(event: Malformed, upstream: UpstreamConnection) -> None:
     upstream.reject(event)
+
+
+#: Handlers of ``accept_event`` by the exact type of the event.
+_HANDLERS = accept_event.registry
--- a/monsoontray/kernel/sockets.py
+++ b/monsoontray/kernel/sockets.py
@@ -36,6 +36,8 @@
         self._epoll = select.epoll()
         self._owners: dict[int, Callable[[int], None]] = {}
         self._ended = False
+        #: Monotonic seconds when the current event arrived.
+        self.now = kernel.clock.now()
 
     def add_socket(self, descriptor: int, owner: SocketOwner, events: int) -> None:
         """Send the events of a descriptor to its owner."""
@@ -68,8 +70,11 @@
         self._epoll.register(mailbox_descriptor, READABLE)
         owners = self._owners
         poll = self._epoll.poll
+        read_clock = self.clock.now
         while not self._ended:
-            for descriptor, events in poll(self._find_wait()):
+            ready = poll(self._find_wait())
+            self.now = read_clock()
+            for descriptor, events in ready:
                 if descriptor == mailbox_descriptor:
                     self._take_messages()
                     continue
@@ -77,7 +82,7 @@
                 if act is not None:
                     act(events)
                     self.finish_event()
-            self.timers.run_due(self.clock.now())
+            self.timers.run_due(self.now)
             self.finish_event()
 
     def close(self) -> None:
--- a/monsoontray/metrics/service.py
+++ b/monsoontray/metrics/service.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from functools import lru_cache
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.metrics_core import Metric
+from prometheus_client.registry import Collector
 
 from monsoontray.decisions.outcomes import Ran, Reason
 from monsoontray.kernel.kernel import Kernel, Registration
@@ -12,6 +16,18 @@
 NAME = "metrics"
 
 
+class AnswersCollector(Collector):
+    """Report the answers, which are too frequent for a locked counter."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> Iterable[Metric]:
+        """Return the count."""
+        value = float(self._metrics.answers)
+        return (CounterMetricFamily("monsoontray_answers", "Whole answers", value),)
+
+
 class Metrics:
     """Hold the counters; each has one writing task."""
 
@@ -35,9 +51,9 @@
             ("reason",),
             registry=self.registry,
         )
-        self._answers = Counter(
-            "monsoontray_answers", "Whole answers", registry=self.registry
-        )
+        #: Whole answers; the forwarder counts them.
+        self.answers = 0
+        self.registry.register(AnswersCollector(self))
         self._cancelled = Counter(
             "monsoontray_cancelled_calls",
             "Calls whose caller had gone",
@@ -76,10 +92,6 @@
         """Count an answer cut short."""
         self._cuts.labels(reason).inc()
 
-    def count_answer(self) -> None:
-        """Count a whole answer."""
-        self._answers.inc()
-
     def count_cancelled(self) -> None:
         """Count a call whose caller had gone."""
         self._cancelled.inc()
