--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +12,7 @@
 
 from bench.experiments.registry import EXPERIMENTS
 from bench.options import OptionsError, build_options, describe_run
+from bench.processes import compute_steal_percent, read_steal_ticks
 
 RESULTS = Path(__file__).parent / "results"
 EXIT_BAD_ARGUMENTS = 2
@@ -45,7 +47,11 @@
             experiment.duration_s if duration_s is None else duration_s,
             faults,
         )
-        result = describe_run(experiment.name, options, experiment.measure(options))
+        stolen, begun = read_steal_ticks(), time.monotonic()
+        figures = experiment.measure(options)
+        took_s = time.monotonic() - begun
+        figures["steal_percent"] = compute_steal_percent(stolen, took_s)
+        result = describe_run(experiment.name, options, figures)
         line = msgspec.json.encode(result).decode()
         if record:
             with (RESULTS / f"{experiment.name}.jsonl").open("a") as results:
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -36,3 +36,16 @@
             if line.startswith(name):
                 return float(line.split()[1])
     raise ValueError(f"process {pid} has no {name}")
+
+
+def read_steal_ticks() -> int:
+    """Return the time that the host kept this machine's processors, in ticks."""
+    with open("/proc/stat") as stat:
+        return int(stat.readline().split()[8])
+
+
+def compute_steal_percent(before: int, duration_s: float) -> float:
+    """Return the share of the processors that the host kept since a reading."""
+    cores = os.cpu_count() or 1
+    stolen_s = (read_steal_ticks() - before) / _TICKS_PER_S
+    return round(100 * stolen_s / (duration_s * cores), 2)
--- a/monsoontray/forwarding/framing.py
+++ b/monsoontray/forwarding/framing.py
@@ -7,7 +7,7 @@
 from monsoontray.forwarding.heads import OWN_PREFIX, Framing, Headers, encode_line
 
 MAX_LENGTH_DIGITS = 15
-_VERSIONS = ("1.0", "1.1")
+_VERSION = "1.1"
 _NAMED_BY_CONNECTION = (b"keep-alive", b"close")
 #: Headers that concern one connection only or how the message is framed.
 HOP_HEADERS = frozenset(
@@ -76,22 +76,20 @@
     collected: HeaderCollector, version: str
 ) -> tuple[Framing, int]:
     """Return the framing of a request and its length in bytes."""
-    if version not in _VERSIONS:
-        raise _refuse(f"HTTP version {version} is not served")
+    if version != _VERSION:
+        detail = f"HTTP version {version} is not served"
+        raise MalformedMessageError(Reason.UNSUPPORTED, detail)
     hosts = _find_all(collected.hop, b"host")
-    if len(hosts) > 1 or (version == "1.1" and not hosts):
+    if len(hosts) != 1:
         raise _refuse("the Host header must appear once")
-    if hosts:
-        collected.lines.append(encode_line(b"host", hosts[0]))
-    if len(collected.hop) == len(hosts):
+    collected.lines.append(encode_line(b"host", hosts[0]))
+    if len(collected.hop) == 1:
         return Framing.EMPTY, 0
     if _find_all(collected.hop, b"upgrade"):
         raise MalformedMessageError(Reason.UNSUPPORTED, "upgrades are not served")
     codings = _find_all(collected.hop, b"transfer-encoding")
     lengths = _find_all(collected.hop, b"content-length")
     if codings:
-        if version == "1.0":
-            raise _refuse("HTTP/1.0 has no transfer codings")
         _check_codings(codings, lengths)
         return Framing.CHUNKED, 0
     if lengths:
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -18,6 +18,8 @@
     from monsoontray.kernel.timers import Timer
     from monsoontray.settings.settings import Address
 
+IDLE_SHARE = 0.5  # of the time after which the other end closes
+
 
 class UpstreamConnection(Connection):
     """Own one socket towards a guard or a backend server."""
@@ -29,6 +31,7 @@
         "address",
         "call",
         "connected",
+        "idle_deadline",
         "spent",
     )
 
@@ -39,6 +42,7 @@
         self.address = address
         self.call: Call | None = None
         self.connected = False
+        self.idle_deadline = 0.0
         self.spent = False  # no further request may be sent on it
         self._keep_alive = True
         self._parser = AnswerParser(forwarder.limits.head)
@@ -139,13 +143,19 @@
 
 
 class UpstreamPool:
-    """Keep idle connections by address, the latest used first."""
+    """Keep idle connections by address, the latest used first.
+
+    A connection that stays idle is closed here, before the node or server behind
+    it would close it: a request that crosses such a close has an unknown outcome.
+    """
 
-    __slots__ = ("_forwarder", "_idle")
+    __slots__ = ("_forwarder", "_idle", "_idle_s", "_sweep_set")
 
     def __init__(self, forwarder: Forwarder) -> None:
         self._forwarder = forwarder
         self._idle: dict[Address, list[UpstreamConnection]] = {}
+        self._idle_s = forwarder.limits.idle_s * IDLE_SHARE
+        self._sweep_set = False
 
     def take(self, address: Address) -> UpstreamConnection:
         """Return an idle connection or a new one; raise OSError."""
@@ -156,6 +166,10 @@
 
     def keep(self, connection: UpstreamConnection) -> None:
         """Keep an idle connection for the next call."""
+        connection.idle_deadline = self._forwarder.now + self._idle_s
+        if not self._sweep_set:
+            self._sweep_set = True
+            self._forwarder.timers.add(connection.idle_deadline, self._sweep)
         self._idle.setdefault(connection.address, []).append(connection)
 
     def forget(self, connection: UpstreamConnection) -> None:
@@ -175,6 +189,20 @@
         for address in list(self._idle):
             self.close_address(address)
 
+    def _sweep(self) -> None:
+        """Close the connections that stayed idle and plan the next sweep."""
+        self._sweep_set = False
+        now = self._forwarder.now
+        # The longest idle stand first in each list.
+        for idle in list(self._idle.values()):
+            while idle and idle[0].idle_deadline <= now:
+                idle[0].close()
+        self._idle = {address: idle for address, idle in self._idle.items() if idle}
+        if self._idle:
+            earliest = min(idle[0].idle_deadline for idle in self._idle.values())
+            self._sweep_set = True
+            self._forwarder.timers.add(earliest, self._sweep)
+
     def _open(self, address: Address) -> UpstreamConnection:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         prepare_socket(sock)
--- a/monsoontray/logs.py
+++ b/monsoontray/logs.py
@@ -15,14 +15,15 @@
 _OWN_FIELDS = frozenset(("node", "fields", "json"))
 
 
-def set_up_log(form: str, level: str, node: str) -> None:
-    """Write log lines to standard error in the form asked for."""
+def set_up_log(form: str, level: str, node: str, path: str) -> None:
+    """Write log lines to a file or standard error; raise OSError."""
+    target = path or sys.stderr
     logger.remove()
     logger.configure(extra={"node": node, "fields": ""}, patcher=_add_fields)
     if form == "json":
-        logger.add(sys.stderr, level=level, format=_choose_json, backtrace=False)
+        logger.add(target, level=level, format=_choose_json, backtrace=False)
     else:
-        logger.add(sys.stderr, level=level, format=_HUMAN, backtrace=False)
+        logger.add(target, level=level, format=_HUMAN, backtrace=False)
 
 
 def _add_fields(record: Any) -> None:
--- a/monsoontray/node.py
+++ b/monsoontray/node.py
@@ -37,6 +37,7 @@
         settings.get_text("log_format"),
         settings.get_text("log_level"),
         settings.get_text("node"),
+        settings.get_text("log_file"),
     )
     kernel = Kernel(SystemClock(), settings.get_seconds("stop_grace_ms"))
     register_settings(kernel, settings)
--- a/monsoontray/settings/declarations.py
+++ b/monsoontray/settings/declarations.py
@@ -82,9 +82,9 @@
         is_address=True,
     ),
     Declaration(
-        "data_directory",
+        "log_file",
         str,
-        "Directory for nothing today; VMs have no disks. Empty means none.",
+        "Path of the log; empty means standard error.",
         default="",
     ),
     Declaration(
--- a/tests/test_forwarding/test_calls.py
+++ b/tests/test_forwarding/test_calls.py
@@ -359,3 +359,18 @@
     assert find_refusal(answer) == (b"bad-answer", b"unknown")
     router.close()
     listener.close()
+
+
+def test_idle_connections_between_nodes_are_closed_by_the_side_that_sends(fleet):
+    entry, guard = start_lone_fleet(fleet, idle_timeout_ms=600)
+    router = Router(entry.entry)
+    for _ in range(2):
+        assert router.call(build_request("/catalogue", TOKEN)).status == 200
+    router.close()
+
+    def count_callers(node) -> int:
+        return fleet.get_json(node.operator, "/status")["callers"]
+
+    fleet.wait_for(lambda: count_callers(guard) == 1, "one connection between nodes")
+    fleet.wait_for(lambda: count_callers(guard) == 0, "its end")
+    assert call(entry.entry, "/catalogue", "POST").status == 200
