Keep exchanges few: a view, paced pushes, marks apart from records

Cause: at 40 nodes a fleet that started at once never settled. Each change was pushed to 3 peers at most 20 ms later, each merge was a change again, so nodes made 100 and more exchanges a second; time-outs were read as deaths (2,300 suspicions in 20 s), which are changes too. Channels to more than 32 peers were closed with calls on them, which looked like deaths as well. At 80 nodes the proxy looked up each connection's process one by one, which took seconds. Ruled out: start-up work (all nodes ran within 7 s). Change: a node exchanges with a small view that rotates; pushes are 0.2 s apart; news is told half as often as the fleet doubles; a node to which many do not answer blames itself; suspects are told, so that they can refute; watchers greet nodes of the directory that they do not know; which version is in force where travels as small marks outside the digest; the proxy looks up all at once.

--- a/bench/experiments/convergence.py
+++ b/bench/experiments/convergence.py
@@ -26,7 +26,7 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 TOKENS = ("token-of-first", "token-of-second")
 CHANGE_INTERVAL_S = 2.0
-PROBE_PAUSE_S = 0.01
+PROBE_PAUSE_S = 0.001  # for each node, so that all probers ask equally often
 SETTLE_S = 3.0  # before what control costs is measured
 IDLE_S = 5.0  # time over which it is measured, without calls
 
@@ -58,9 +58,10 @@
         runner = FaultRunner(fleet, options.faults, options.seed)
         idle = measure_idle(fleet)
         target = Target()
+        pause_s = PROBE_PAUSE_S * options.nodes
         sights = [Sight(node) for node in fleet.nodes]
         probers = [
-            threading.Thread(target=probe, args=(sight, target), daemon=True)
+            threading.Thread(target=probe, args=(sight, target, pause_s), daemon=True)
             for sight in sights
         ]
         propose(fleet, target)
@@ -137,7 +138,7 @@
     fleet.post_json(fleet.nodes[0].operator, "/announce", announcement)
 
 
-def probe(sight: Sight, target: Target) -> None:
+def probe(sight: Sight, target: Target, pause_s: float) -> None:
     """Watch one node from outside until the experiment ends."""
     router: Router | None = None
     while not target.ended:
@@ -147,7 +148,7 @@
         except (OSError, CutAnswerError, ValueError):
             sight.lost_calls += 1
             router = None
-        time.sleep(PROBE_PAUSE_S)
+        time.sleep(pause_s)
 
 
 def probe_once(router: Router, sight: Sight, target: Target) -> None:
--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -66,8 +66,9 @@
     """Hold one connection through a link."""
 
     link: Link
-    source: str
+    port: int  # of the process that opened it
     writers: list[asyncio.StreamWriter]
+    source: str | None = None  # label of that process, once it was looked up
     open_gate: asyncio.Event = field(default_factory=asyncio.Event)
     silenced_for_good: bool = False
 
@@ -124,8 +125,7 @@
             self.rules.pop(key, None)
         else:
             self.rules[key] = body.action
-        for passage in list(self.passages):
-            self.apply_rules(passage)
+        self.apply_rules(list(self.passages))
         return web.json_response({})
 
     async def observe(self, request: web.Request) -> web.Response:
@@ -144,15 +144,17 @@
         self, link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Pass one connection until either end closes."""
-        source = self.find_source(writer)
-        passage = Passage(link, source, [writer])
+        port: int = writer.get_extra_info("peername")[1]
+        passage = Passage(link, port, [writer])
         link.connections += 1
         self.passages.add(passage)
         try:
-            self.apply_rules(passage)
+            self.apply_rules([passage])
             await passage.open_gate.wait()
-            host, _, port = link.target.rpartition(":")
-            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            host, _, target_port = link.target.rpartition(":")
+            far_reader, far_writer = await asyncio.open_connection(
+                host, int(target_port)
+            )
             passage.writers.append(far_writer)
             await asyncio.gather(
                 self.pump(passage, reader, far_writer, towards_target=True),
@@ -185,11 +187,16 @@
         with contextlib.suppress(OSError):
             writer.write_eof()
 
-    def apply_rules(self, passage: Passage) -> None:
-        """Pass, cut or silence a connection as the rules say now."""
-        if passage.silenced_for_good:
-            return
-        action = self.find_action(passage)
+    def apply_rules(self, passages: list[Passage]) -> None:
+        """Pass, cut or silence connections as the rules say now."""
+        if self.rules:
+            self.find_sources(passages)
+        for passage in passages:
+            if not passage.silenced_for_good:
+                self.apply_action(passage, self.find_action(passage))
+
+    def apply_action(self, passage: Passage, action: str) -> None:
+        """Pass, cut or silence one connection."""
         if action == "cut":
             for writer in passage.writers:
                 writer.transport.abort()
@@ -200,6 +207,7 @@
 
     def silence_established(self, key: tuple[str, str]) -> None:
         """Silence the connections that are open now, for good."""
+        self.find_sources(list(self.passages))
         for passage in self.passages:
             if _matches(passage, key):
                 passage.silenced_for_good = True
@@ -212,14 +220,15 @@
                 return action
         return "pass"
 
-    def find_source(self, writer: asyncio.StreamWriter) -> str:
-        """Return the label of the process that opened a connection."""
-        port = writer.get_extra_info("peername")[1]
-        inode = _find_inode(port)
-        for pid, label in self.labels.items():
-            if inode and _owns_inode(pid, inode):
-                return label
-        return ""
+    def find_sources(self, passages: list[Passage]) -> None:
+        """Look up which processes opened connections, all at once."""
+        unknown = [passage for passage in passages if passage.source is None]
+        if not unknown:
+            return
+        inodes = _read_inodes()
+        labels = _read_owners(self.labels)
+        for passage in unknown:
+            passage.source = labels.get(inodes.get(passage.port, ""), "")
 
 
 def _matches(passage: Passage, key: tuple[str, str]) -> bool:
@@ -228,31 +237,34 @@
     return source in (ANY, passage.source) and target in (ANY, link.label, link.name)
 
 
-def _find_inode(port: int) -> str:
-    """Return the inode of the loopback socket that is bound to a port.
+def _read_inodes() -> dict[int, str]:
+    """Return the inode of the loopback socket that is bound to each port.
 
     Some clients open sockets of the newer family to reach IPv4 addresses.
     """
+    inodes = {}
     for table, prefix in _SOCKET_TABLES:
         with open(table) as lines:
             for line in lines:
                 cells = line.split()
-                if cells[1] == f"{prefix}:{port:04X}":
-                    return cells[9]
-    return ""
-
-
-def _owns_inode(pid: int, inode: str) -> bool:
-    wanted = f"socket:[{inode}]"
-    try:
-        descriptors = os.listdir(f"/proc/{pid}/fd")
-    except OSError:
-        return False
-    for descriptor in descriptors:
+                address, _, port = cells[1].partition(":")
+                if address == prefix:
+                    inodes[int(port, 16)] = cells[9]
+    return inodes
+
+
+def _read_owners(labels: dict[int, str]) -> dict[str, str]:
+    """Return the label of the process that owns each socket, by inode."""
+    owners = {}
+    for pid, label in labels.items():
+        directory = f"/proc/{pid}/fd"
         with contextlib.suppress(OSError):
-            if os.readlink(f"/proc/{pid}/fd/{descriptor}") == wanted:
-                return True
-    return False
+            for descriptor in os.listdir(directory):
+                with contextlib.suppress(OSError):
+                    name = os.readlink(f"{directory}/{descriptor}")
+                    if name.startswith("socket:["):
+                        owners[name[len("socket:[") : -1]] = label
+    return owners
 
 
 def run(port: int) -> None:
--- a/monsoontray/configuration/watcher.py
+++ b/monsoontray/configuration/watcher.py
@@ -222,6 +222,7 @@
         if isinstance(record, NotDone):
             return False
         directory = self._read_directory(record)
+        self._greet_strangers(fleet, directory)
         alive = {
             each.node: each.peer_address
             for each in fleet.records
@@ -236,6 +237,20 @@
         self._client.compare_and_swap(DIRECTORY_KEY, record.revision, value)
         return True
 
+    def _greet_strangers(self, fleet: FleetState, directory: Directory) -> None:
+        """Join parts of the fleet that have not heard of each other."""
+        known = {record.node for record in fleet.records}
+        strangers = [
+            address
+            for nodes in directory.zones.values()
+            for node, address in nodes.items()
+            if node not in known
+        ]
+        self._random.shuffle(strangers)
+        if strangers:
+            seeds = tuple(strangers[:SEED_COUNT])
+            self.kernel.post("membership", SeedsFound(seeds))
+
     def _read_head(self, record: Record) -> VersionName | None:
         try:
             return decode_head(record)
@@ -255,7 +270,7 @@
         try:
             answer: FleetState = self.kernel.ask("membership", DescribeFleet, deadline)
         except ReplyTimeoutError:
-            return FleetState(self._node, ())
+            return FleetState(self._node, (), {})
         return answer
 
     def _set_watching(self, watching: bool) -> None:
--- a/monsoontray/decisions/fleet.py
+++ b/monsoontray/decisions/fleet.py
@@ -16,14 +16,16 @@
     ServerState,
     ServerTable,
 )
-from monsoontray.plans.model import NO_VERSION, VersionName
 
 SUSPICION_S = 3.0  # time that a suspect has to refute
 TOMBSTONE_S = 120.0  # time that a dead node is remembered
 FAILURES_TO_SUSPECT = 2  # failed exchanges in a row
 NEWS_PER_EXCHANGE = 32  # records pushed in one exchange
-REPEATS_PER_DOUBLING = 2  # times that news is told for each doubling of the fleet
+REPEATS_PER_DOUBLING = 0.5  # pushes of news for each doubling of the fleet
 CROSS_ZONE_SHARE = 0.25  # exchanges that leave the zone
+VIEW_NEAR = 5  # nodes of the own zone that a node exchanges with
+VIEW_FAR = 3  # nodes of other zones that it exchanges with
+MAX_STRAIN = 6  # failed exchanges that a node blames on itself at most
 
 
 class NodeState(enum.IntEnum):
@@ -64,7 +66,6 @@
     sequence: int
     state: NodeState = NodeState.ALIVE
     servers: tuple[ServerRecord, ...] = ()
-    version: VersionName = NO_VERSION
     watching: bool = False
     waiting_routes: tuple[str, ...] = ()
 
@@ -84,7 +85,17 @@
 class Fleet:
     """Hold the records of all nodes that one node knows."""
 
-    __slots__ = ("_deadlines", "_digest", "_failures", "_news", "_records", "own")
+    __slots__ = (
+        "_deadlines",
+        "_digest",
+        "_failures",
+        "_far",
+        "_near",
+        "_news",
+        "_records",
+        "_strain",
+        "own",
+    )
 
     def __init__(self, own: NodeRecord) -> None:
         self.own = own
@@ -93,6 +104,11 @@
         self._deadlines: dict[str, float] = {}
         self._failures: dict[str, int] = {}
         self._digest = 0
+        self._near: list[str] = []
+        self._far: list[str] = []
+        # Nodes that failed to answer lately, less exchanges that worked: a node to
+        # which many do not answer is slow itself and suspects others later.
+        self._strain = 0
         self._put(own)
 
     def update_own(self, record: NodeRecord) -> None:
@@ -122,15 +138,19 @@
     def note_success(self, node: str) -> None:
         """Record that a node answered."""
         self._failures.pop(node, None)
+        self._strain = max(0, self._strain - 1)
 
     def note_failure(self, node: str, now: float) -> bool:
         """Record that a node did not answer; say whether it is now a suspect."""
         failures = self._failures.get(node, 0) + 1
         self._failures[node] = failures
+        if failures == 1:
+            self._strain = min(MAX_STRAIN, self._strain + 1)
+        tolerated = FAILURES_TO_SUSPECT + max(0, self._strain - 1)
         record = self._records.get(node)
         if record is None or record.state is not NodeState.ALIVE:
             return False
-        if failures < FAILURES_TO_SUSPECT:
+        if failures < tolerated:
             return False
         suspect = replace(record, state=NodeState.SUSPECT)
         self._put(suspect)
@@ -204,21 +224,44 @@
         return bool(self._news)
 
     def choose_peers(self, count: int, random: Random) -> list[NodeRecord]:
-        """Choose nodes to exchange with, most of them in this zone."""
-        others = [
-            record
-            for record in self._records.values()
-            if record.node != self.own.node and record.state is not NodeState.DEAD
-        ]
-        near = [record for record in others if record.zone == self.own.zone]
-        far = [record for record in others if record.zone != self.own.zone]
+        """Choose nodes of the view to exchange with, most of them in this zone."""
+        self._fill_view(random)
+        near, far = list(self._near), list(self._far)
         chosen: list[NodeRecord] = []
         while (near or far) and len(chosen) < count:
             leave = not near or (bool(far) and random.random() < CROSS_ZONE_SHARE)
             pool = far if leave else near
-            chosen.append(pool.pop(random.randrange(len(pool))))
+            node = pool.pop(random.randrange(len(pool)))
+            chosen.append(self._records[node])
         return chosen
 
+    def rotate_view(self, random: Random) -> None:
+        """Replace one node of the view, so that all meet in time."""
+        for members in (self._near, self._far):
+            if members:
+                members.pop(random.randrange(len(members)))
+        self._fill_view(random)
+
+    def _fill_view(self, random: Random) -> None:
+        """Drop the dead from the view and fill it up."""
+        self._near = [node for node in self._near if self._is_reachable(node)]
+        self._far = [node for node in self._far if self._is_reachable(node)]
+        zone = (self.own.region, self.own.zone)
+        if len(self._near) < VIEW_NEAR or len(self._far) < VIEW_FAR:
+            near: list[str] = []
+            far: list[str] = []
+            for record in self._records.values():
+                if record.node == self.own.node or record.state is NodeState.DEAD:
+                    continue
+                same_zone = (record.region, record.zone) == zone
+                (near if same_zone else far).append(record.node)
+            _top_up(self._near, near, VIEW_NEAR, random)
+            _top_up(self._far, far, VIEW_FAR, random)
+
+    def _is_reachable(self, node: str) -> bool:
+        record = self._records.get(node)
+        return record is not None and record.state is not NodeState.DEAD
+
     def build_servers(self) -> ServerTable:
         """Return the servers that take new work."""
         endpoints = []
@@ -256,8 +299,8 @@
             self._digest ^= _hash_record(known)
         self._digest ^= _hash_record(record)
         self._records[record.node] = record
-        doublings = ceil(log2(len(self._records) + 1))
-        self._news[record.node] = max(2, REPEATS_PER_DOUBLING * doublings)
+        doublings = log2(len(self._records) + 1)
+        self._news[record.node] = max(2, ceil(REPEATS_PER_DOUBLING * doublings))
 
     def _remove(self, node: str) -> None:
         record = self._records.pop(node)
@@ -267,7 +310,8 @@
 
     def _set_deadline(self, record: NodeRecord, now: float) -> None:
         if record.state is NodeState.SUSPECT:
-            self._deadlines[record.node] = now + SUSPICION_S
+            patience = 1.0 + max(0, self._strain - 1) / 2
+            self._deadlines[record.node] = now + SUSPICION_S * patience
         elif record.state is NodeState.DEAD:
             self._deadlines[record.node] = now + TOMBSTONE_S
         else:
@@ -275,6 +319,15 @@
             self._failures.pop(record.node, None)
 
 
+def _top_up(
+    members: list[str], candidates: list[str], size: int, random: Random
+) -> None:
+    others = [node for node in candidates if node not in members]
+    wanted = min(size - len(members), len(others))
+    if wanted > 0:
+        members += random.sample(others, wanted)
+
+
 def _hash_record(record: NodeRecord) -> int:
     """Return a record's share of the digest; the dead have none."""
     if record.state is NodeState.DEAD:
--- a/monsoontray/membership/encoding.py
+++ b/monsoontray/membership/encoding.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from monsoontray.decisions.fleet import NodeRecord, NodeState, Stamp
+from monsoontray.decisions.marks import Mark
 from monsoontray.decisions.servers import ServerRecord, ServerState
 from monsoontray.membership import peer_pb2
 from monsoontray.membership.errors import MalformedExchangeError
@@ -22,6 +23,7 @@
     stamps: tuple[Stamp, ...] = ()
     wanted: tuple[str, ...] = ()
     repair: bool = False
+    marks: tuple[Mark, ...] = ()
 
 
 def encode_exchange(exchange: Exchange) -> peer_pb2.Exchange:
@@ -34,6 +36,7 @@
         stamps=[_encode_stamp(stamp) for stamp in exchange.stamps],
         wanted=exchange.wanted,
         repair=exchange.repair,
+        marks=[_encode_mark(mark) for mark in exchange.marks],
     )
 
 
@@ -48,6 +51,7 @@
             stamps=tuple(_decode_stamp(stamp) for stamp in message.stamps),
             wanted=tuple(message.wanted),
             repair=message.repair,
+            marks=tuple(_decode_mark(mark) for mark in message.marks),
         )
     except ValueError as error:
         raise MalformedExchangeError(str(error)) from error
@@ -74,7 +78,6 @@
         sequence=record.sequence,
         state=int(record.state),
         servers=[_encode_server(server) for server in record.servers],
-        version=encode_version_name(record.version),
         watching=record.watching,
         waiting_routes=record.waiting_routes,
     )
@@ -93,7 +96,6 @@
         sequence=message.sequence,
         state=NodeState(message.state),
         servers=tuple(_decode_server(server) for server in message.servers),
-        version=decode_version_name(message.version),
         watching=message.watching,
         waiting_routes=tuple(message.waiting_routes),
     )
@@ -125,6 +127,16 @@
     )
 
 
+def _encode_mark(mark: Mark) -> peer_pb2.Mark:
+    return peer_pb2.Mark(
+        node=mark.node, incarnation=mark.incarnation, number=mark.number
+    )
+
+
+def _decode_mark(message: peer_pb2.Mark) -> Mark:
+    return Mark(message.node, message.incarnation, message.number)
+
+
 def _encode_stamp(stamp: Stamp) -> peer_pb2.Stamp:
     return peer_pb2.Stamp(
         node=stamp.node,
--- a/monsoontray/membership/messages.py
+++ b/monsoontray/membership/messages.py
@@ -91,6 +91,7 @@
 
     own: str
     records: tuple[NodeRecord, ...]
+    versions: dict[str, int]  # node to the number of its version in force
 
 
 @dataclass(slots=True, frozen=True)
--- a/monsoontray/membership/service.py
+++ b/monsoontray/membership/service.py
@@ -10,7 +10,8 @@
 from loguru import logger
 
 from monsoontray.configuration.messages import PeersAnswered, VersionHeard
-from monsoontray.decisions.fleet import Fleet, NodeRecord
+from monsoontray.decisions.fleet import Fleet, NodeRecord, NodeState
+from monsoontray.decisions.marks import Mark, VersionMarks
 from monsoontray.decisions.servers import Place, ServerState
 from monsoontray.forwarding.messages import GuardServers, LocalServer, UseServers
 from monsoontray.kernel.kernel import DeathPolicy, Kernel, Registration
@@ -30,6 +31,7 @@
     VersionInForce,
     WatchingChanged,
 )
+from monsoontray.plans.model import NO_VERSION, VersionName
 
 if TYPE_CHECKING:
     from monsoontray.settings.settings import Settings
@@ -37,6 +39,8 @@
 NAME = "membership"
 PUSH_DELAY_S = 0.02  # time in which several pieces of news are gathered
 PUSH_FANOUT = 3  # peers that news is pushed to at once
+PUSH_INTERVAL_S = 0.2  # least time between two pushes
+ROTATION_S = 15.0  # time after which the view is rotated
 LEAVING_KEPT_S = 30.0  # time that a leaving server stays on record
 _MS_PER_S = 1000
 
@@ -63,6 +67,9 @@
             sequence=1,
         )
         self.fleet = Fleet(own)
+        self.marks = VersionMarks()
+        self._version = NO_VERSION
+        self.set_version(NO_VERSION)
         self.random = Random(f"{self.place.node} {incarnation}")
         self._interval_s = settings.get_seconds("exchange_interval_ms")
         self._lifetime_s = settings.get_seconds("announcement_lifetime_ms")
@@ -71,6 +78,8 @@
         self._seeds: list[str] = list(settings.get_texts("seeds"))
         self._next_exchange = self.clock.now() + self.random.random() * 0.1
         self._next_push: float | None = None
+        self._last_push = 0.0
+        self._next_rotation = self.clock.now() + ROTATION_S
         self._answered: set[str] = set()
 
     def find_next_deadline(self) -> float | None:
@@ -87,21 +96,28 @@
         """Exchange, push and expire what is due."""
         now = self.clock.now()
         if self.fleet.expire(now):
+            self.marks.forget_except(r.node for r in self.fleet.get_records())
             self.publish_servers()
         self._expire_announcements(now)
         if now >= self._next_exchange:
             jitter = 0.9 + 0.2 * self.random.random()
             self._next_exchange = now + self._interval_s * jitter
+            if now >= self._next_rotation:
+                self._next_rotation = now + ROTATION_S
+                self.fleet.rotate_view(self.random)
             self._exchange(1)
         if self._next_push is not None and now >= self._next_push:
             self._next_push = None
-            if self.fleet.has_news():
+            if self._has_news():
+                self._last_push = now
                 self._exchange(PUSH_FANOUT)
+                self.push_soon()
 
     def push_soon(self) -> None:
         """Tell peers of news shortly."""
-        if self._next_push is None:
-            self._next_push = self.clock.now() + PUSH_DELAY_S
+        if self._next_push is None and self._has_news():
+            soon = self.clock.now() + PUSH_DELAY_S
+            self._next_push = max(soon, self._last_push + PUSH_INTERVAL_S)
 
     def publish_servers(self) -> None:
         """Give the changed table of servers to those who use it."""
@@ -137,13 +153,13 @@
         """Mark every server on this VM as leaving, and say so at once."""
         for server in list(self._local):
             self.begin_leaving(server)
-        self._next_push = self.clock.now()
+        self._next_push = self.clock.now()  # ahead of the leaving itself
 
     def add_seeds(self, addresses: tuple[str, ...]) -> None:
         """Exchange with nodes that are not known yet."""
         own = self.fleet.own.peer_address
         self._seeds = [address for address in addresses if address != own]
-        self._next_exchange = self.clock.now()
+        self._greet_seeds()
 
     def answer(self, exchange: Exchange) -> Exchange:
         """Merge what a peer says and return what it lacks."""
@@ -171,12 +187,20 @@
         repair = replace(repair, wanted=differences.wanted, repair=True)
         self._send(message.node, message.address, repair)
 
+    def set_version(self, name: VersionName) -> None:
+        """Mark a version as in force here."""
+        self._version = name
+        own = self.fleet.own
+        self.marks.merge([Mark(own.node, own.incarnation, name.number)])
+
     def take_exchange(self, exchange: Exchange) -> None:
         """Merge what a peer says."""
+        if self.marks.merge(exchange.marks):
+            self.push_soon()
         if self.fleet.merge(exchange.records, self.clock.now()):
             self.publish_servers()
             self.push_soon()
-        if exchange.version.number > self.fleet.own.version.number:
+        if exchange.version.number > self._version.number:
             address = self._find_address(exchange.sender)
             if address:
                 self.kernel.post(
@@ -194,6 +218,9 @@
             logger.warning("node {} does not answer and is suspected", node)
             self.push_soon()
 
+    def _has_news(self) -> bool:
+        return self.fleet.has_news() or self.marks.has_news()
+
     def _note_answer(self, sender: str) -> None:
         if sender in self._answered:
             return
@@ -204,19 +231,27 @@
     def _exchange(self, count: int) -> None:
         peers = self.fleet.choose_peers(count, self.random)
         news = tuple(self.fleet.take_news()) if peers else ()
+        marks = tuple(self.marks.take_news()) if peers else ()
         for peer in peers:
-            self._send(peer.node, peer.peer_address, self._build_exchange(news))
+            told = news
+            if peer.state is not NodeState.ALIVE and peer not in news:
+                told = (peer, *news)  # let it refute the suspicion
+            exchange = replace(self._build_exchange(told), marks=marks)
+            self._send(peer.node, peer.peer_address, exchange)
         if not peers:
-            news = (self.fleet.own,)
-            for address in self._seeds:
-                self._send("", address, self._build_exchange(news))
+            self._greet_seeds()
+
+    def _greet_seeds(self) -> None:
+        greeting = self._build_exchange((self.fleet.own,))
+        for address in self._seeds:
+            self._send("", address, greeting)
 
     def _send(self, node: str, address: str, exchange: Exchange) -> None:
         self.kernel.post("peers", SendExchange(node, address, exchange))
 
     def _build_exchange(self, records: tuple[NodeRecord, ...]) -> Exchange:
         own = self.fleet.own
-        return Exchange(own.node, own.version, self.fleet.get_digest(), records)
+        return Exchange(own.node, self._version, self.fleet.get_digest(), records)
 
     def _find_address(self, node: str) -> str:
         for record in self.fleet.select_records((node,)):
@@ -284,9 +319,12 @@
 
 @handle_message.register(VersionInForce)
 def _(message: VersionInForce, membership: Membership) -> None:
+    membership.set_version(message.name)
     own = membership.fleet.own
-    record = replace(own, version=message.name, waiting_routes=message.waiting_routes)
-    membership.change_own(record)
+    if own.waiting_routes != message.waiting_routes:
+        record = replace(own, waiting_routes=message.waiting_routes)
+        membership.change_own(record)
+    membership.push_soon()
 
 
 @handle_message.register(WatchingChanged)
@@ -298,7 +336,8 @@
 @handle_message.register(DescribeFleet)
 def _(message: DescribeFleet, membership: Membership) -> None:
     records = tuple(membership.fleet.get_records())
-    message.reply.put(FleetState(membership.place.node, records))
+    versions = membership.marks.get_numbers()
+    message.reply.put(FleetState(membership.place.node, records, versions))
 
 
 def setup(kernel: Kernel) -> None:
--- a/monsoontray/operators/status.py
+++ b/monsoontray/operators/status.py
@@ -27,27 +27,32 @@
         calls=forwarding.calls,
         slots_in_use=forwarding.slots_in_use,
         waiting=forwarding.waiting,
-        zones=_summarize_zones(records),
-        nodes=tuple(_describe_node(record) for record in records),
+        zones=_summarize_zones(records, fleet.versions),
+        nodes=tuple(
+            _describe_node(record, fleet.versions.get(record.node, 0))
+            for record in records
+        ),
     )
 
 
-def _summarize_zones(records: list[NodeRecord]) -> tuple[ZoneStatus, ...]:
+def _summarize_zones(
+    records: list[NodeRecord], numbers: dict[str, int]
+) -> tuple[ZoneStatus, ...]:
     alive = [record for record in records if record.state is not NodeState.DEAD]
-    highest = max((record.version.number for record in alive), default=0)
+    highest = max((numbers.get(record.node, 0) for record in alive), default=0)
     names = sorted({(record.region, record.zone) for record in alive})
     zones = []
     for region, zone in names:
         members = [r for r in alive if (r.region, r.zone) == (region, zone)]
-        versions = Counter(str(record.version.number) for record in members)
-        behind = [r.node for r in members if r.version.number < highest]
+        versions = Counter(str(numbers.get(record.node, 0)) for record in members)
+        behind = [r.node for r in members if numbers.get(r.node, 0) < highest]
         zones.append(
             ZoneStatus(f"{region}/{zone}", len(members), dict(versions), tuple(behind))
         )
     return tuple(zones)
 
 
-def _describe_node(record: NodeRecord) -> NodeStatus:
+def _describe_node(record: NodeRecord, version: int) -> NodeStatus:
     servers = tuple(
         ServerStatus(
             server=server.server,
@@ -63,7 +68,7 @@
         region=record.region,
         zone=record.zone,
         state=record.state.name.lower(),
-        version=record.version.number,
+        version=version,
         watching=record.watching,
         waiting_routes=record.waiting_routes,
         servers=servers,
--- a/tests/test_decisions/test_fleet.py
+++ b/tests/test_decisions/test_fleet.py
@@ -10,6 +10,8 @@
     FAILURES_TO_SUSPECT,
     SUSPICION_S,
     TOMBSTONE_S,
+    VIEW_FAR,
+    VIEW_NEAR,
     Fleet,
     NodeRecord,
     NodeState,
@@ -137,3 +139,40 @@
     random = Random(7)
     chosen = [fleet.choose_peers(1, random)[0].zone for _ in range(400)]
     assert 40 < chosen.count("zone-b") < 160
+
+
+def test_a_node_to_which_many_do_not_answer_suspects_later():
+    fleet = build_fleet(*"abcdef")
+    for node in "bcdef":
+        fleet.note_failure(node, 0.0)
+    failures = [fleet.note_failure("a", 0.0) for _ in range(FAILURES_TO_SUSPECT + 5)]
+    assert not any(failures[:FAILURES_TO_SUSPECT])
+    assert failures[-1]
+    fleet.expire(SUSPICION_S)
+    assert fleet.select_records(["a"])[0].state is NodeState.SUSPECT
+
+
+def test_the_view_is_small_and_meets_everybody_in_time():
+    names = [f"n{i}" for i in range(40)]
+    fleet = build_fleet(*names[:30])
+    fleet.merge([build_record(n, zone="zone-b") for n in names[30:]], 0.0)
+    random = Random(3)
+
+    def read_view():
+        return {record.node for record in fleet.choose_peers(99, random)}
+
+    view = read_view()
+    assert len(view) == VIEW_NEAR + VIEW_FAR
+    assert read_view() == view
+    met = set(view)
+    for _ in range(300):
+        fleet.rotate_view(random)
+        met |= read_view()
+    assert met == set(names)
+
+
+def test_a_dead_node_leaves_the_view():
+    fleet = build_fleet("a")
+    assert fleet.choose_peers(1, Random(1))[0].node == "a"
+    fleet.merge([build_record("a", 5, state=NodeState.DEAD)], 0.0)
+    assert fleet.choose_peers(1, Random(1)) == []
--- /dev/null
+++ b/tests/test_decisions/test_marks.py
@@ -0,0 +1,56 @@
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from monsoontray.decisions.marks import (
+    NEWS_PER_EXCHANGE,
+    REMINDERS_PER_EXCHANGE,
+    REPEATS,
+    Mark,
+    VersionMarks,
+)
+
+marks = st.builds(Mark, st.sampled_from("abc"), st.integers(1, 3), st.integers(0, 4))
+
+
+@settings(max_examples=200, derandomize=True)
+@given(st.lists(marks, max_size=20), st.randoms(use_true_random=False))
+def test_the_order_and_repetition_of_marks_make_no_difference(told, random):
+    first, second = VersionMarks(), VersionMarks()
+    first.merge(told)
+    shuffled = told * 2
+    random.shuffle(shuffled)
+    for mark in shuffled:
+        second.merge([mark])
+    assert first.get_numbers() == second.get_numbers()
+
+
+def test_a_restarted_node_may_be_behind_its_predecessor():
+    known = VersionMarks()
+    known.merge([Mark("a", 1, 7)])
+    assert not known.merge([Mark("a", 1, 6)])
+    assert known.merge([Mark("a", 2, 0)])
+    assert known.get_numbers() == {"a": 0}
+
+
+def test_changed_marks_are_pushed_a_few_times_and_others_in_turn():
+    known = VersionMarks()
+    known.merge(Mark(f"n{i}", 1, 1) for i in range(3 * NEWS_PER_EXCHANGE))
+    pushes = 0
+    while known.has_news():
+        assert len(known.take_news()) <= NEWS_PER_EXCHANGE + REMINDERS_PER_EXCHANGE
+        pushes += 1
+    assert pushes == 3 * REPEATS
+    reminded = set()
+    for _ in range(3 * NEWS_PER_EXCHANGE // REMINDERS_PER_EXCHANGE):
+        reminded |= {mark.node for mark in known.take_news()}
+    assert len(reminded) == 3 * NEWS_PER_EXCHANGE
+
+
+def test_marks_of_forgotten_nodes_are_forgotten():
+    known = VersionMarks()
+    known.merge([Mark("a", 1, 1), Mark("b", 1, 1)])
+    known.forget_except(["b"])
+    assert known.get_numbers() == {"b": 1}
+    assert {mark.node for mark in known.take_news()} == {"b"}
