--- a/bench/standins/backend.py
+++ b/bench/standins/backend.py
@@ -13,13 +13,14 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
+from weakref import WeakSet
 
 import fire
 import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
 ANNOUNCE_INTERVAL_S = 1.5
-CALL_ID_HEADER = "Monsoontray-Call-Id"
 TIMEOUT_HEADER = "Monsoontray-Timeout-Ms"
 POISON = b"poison"
 MS_PER_S = 1000
@@ -45,6 +46,8 @@
 
     calls: int = 0
     cancelled: int = 0
+    past_deadline: int = 0
+    most_connections: int = 0
     over_capacity: int = 0
     most_at_once: int = 0
     shed: int = 0
@@ -75,6 +78,7 @@
         self.observed = Observed()
         self.random = Random(name)
         self.running = 0
+        self.transports: WeakSet[Any] = WeakSet()
         self.leaving = False
         self.warm_since = time.monotonic()
         self.started = time.monotonic()
@@ -152,12 +156,19 @@
         observed.calls += 1
         observed.paths[request.path] += 1
         observed.most_at_once = max(observed.most_at_once, self.running)
+        self.transports.add(request.transport)
+        observed.most_connections = max(observed.most_connections, len(self.transports))
+        limit_ms = request.headers.get(TIMEOUT_HEADER)
         try:
             if self.running > self.find_capacity():
                 observed.over_capacity += 1
                 observed.shed += 1
                 return web.Response(status=503, text="overloaded\n")
-            return await self.run_call(request)
+            async with asyncio.timeout(int(limit_ms) / MS_PER_S if limit_ms else None):
+                return await self.run_call(request)
+        except TimeoutError:
+            observed.past_deadline += 1
+            return web.Response(status=504, text="past the deadline\n")
         except asyncio.CancelledError:
             observed.cancelled += 1
             raise
