Add the experiments herd, outage and partition

Cause: service and versions under the loss of nodes, store and links were not measured. Change: three experiments over the same probers; background routers. Faults found in the bench itself: the proxy took connections that share a near port for one another, so a cut leaked (versions were seen inside a cut zone 0.7 s before it healed); services announced once only lapsed, which showed as 4 dangling routes after a herd restart; proposals stuck at one cut-off node.

--- a/bench/experiments/registry.py
+++ b/bench/experiments/registry.py
@@ -7,7 +7,10 @@
 from typing import Any
 
 from bench.experiments.convergence import measure_convergence
+from bench.experiments.herd import measure_herd
 from bench.experiments.latency import measure_latency
+from bench.experiments.outage import measure_outage
+from bench.experiments.partition import measure_partition
 from bench.experiments.throughput import measure_throughput
 from bench.options import Options
 
@@ -47,5 +50,26 @@
             10,
             25.0,
         ),
+        Experiment(
+            "herd",
+            "return of half of all nodes, killed and restarted at once",
+            measure_herd,
+            10,
+            20.0,
+        ),
+        Experiment(
+            "outage",
+            "service while the store is out, and after",
+            measure_outage,
+            10,
+            20.0,
+        ),
+        Experiment(
+            "partition",
+            "service inside and outside a zone that is cut off",
+            measure_partition,
+            10,
+            15.0,
+        ),
     )
 }
--- /dev/null
+++ b/bench/experiments/versions.py
@@ -0,0 +1,264 @@
+"""Propose versions and watch from outside which are in force at each node.
+
+Version n lets two customers call ``/probe/n``. A prober for each node asks as the
+one and then as the other, so it sees which version is in force, whether a node ever
+goes back, applies a version in part, or points a route at a service that it lacks.
+"""
+
+from __future__ import annotations
+
+import statistics
+import threading
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import urllib3
+
+from bench.caller import CutAnswerError, Router, build_request
+from bench.fleet import Fleet, FleetError, NodeHandle
+from bench.lists import build_customer, build_lists, build_plan, build_route
+from bench.progress import show_progress
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+TOKENS = ("token-of-first", "token-of-second")
+ANNOUNCE_INTERVAL_S = 1.0
+PROBE_PAUSE_S = 0.001  # for each node, so that all probers ask equally often
+
+
+class NoVersionError(Exception):
+    """Report a node that has no version in force yet."""
+
+
+@dataclass(slots=True)
+class Sight:
+    """What the prober of one node saw."""
+
+    node: NodeHandle
+    in_force: dict[int, float] = field(default_factory=dict)  # version to time
+    regressions: int = 0
+    partial_applies: int = 0
+    dangling_routes: int = 0
+    lost_calls: int = 0
+    unready_calls: int = 0  # to a node that has just started
+
+
+@dataclass(slots=True)
+class Target:
+    """The latest accepted version, shared with the probers."""
+
+    number: int = 0
+    proposals: int = 0
+    ended: bool = False
+
+
+def start_fleet(fleet: Fleet, count: int) -> None:
+    """Start nodes in three zones, reached through the proxy, with servers."""
+    fleet.start_store()
+    fleet.start_proxy()
+    nodes = [fleet.add_node(f"node-{i}", ZONES[i % len(ZONES)]) for i in range(count)]
+    for node in nodes:
+        fleet.start_node(node)
+    fleet.label_processes()
+    for node in nodes:
+        fleet.wait_for_node(node)
+    for i, node in enumerate(nodes[: len(ZONES)]):
+        fleet.start_backend(f"server-{i}", "catalogue", node, "--slots=32")
+    fleet.wait_for_servers("catalogue", min(count, len(ZONES)))
+    show_progress(f"{count} nodes started")
+
+
+def propose(fleet: Fleet, target: Target) -> float:
+    """Propose the next version; return when it was accepted, or 0."""
+    number = target.number + 1
+    target.proposals += 1
+    fresh = f"fresh-{number}"
+    routes = [
+        build_route(f"/probe/{number}", "catalogue"),
+        build_route(f"/fresh/{number}", fresh),
+        build_route("/catalogue", "catalogue"),
+    ]
+    plans = [build_plan("first", routes), build_plan("second", routes)]
+    customers = [
+        build_customer("first", "first", TOKENS[0]),
+        build_customer("second", "second", TOKENS[1]),
+    ]
+    lists = build_lists(customers, plans, ["catalogue", fresh])
+    proposal = {"based_on": number - 1, "author": "bench", "lists": lists}
+    operator = fleet.nodes[target.proposals % len(fleet.nodes)].operator
+    try:
+        announce_fresh(fleet, fresh)
+        verdict = fleet.post_json(operator, "/config", proposal)
+    except (OSError, urllib3.exceptions.HTTPError):
+        return 0.0
+    # An answer that was lost shows as being overtaken by oneself.
+    taken = verdict.get("outcome") in ("accepted", "overtaken")
+    if not taken or verdict.get("number") != number:
+        return 0.0
+    target.number = number
+    return time.monotonic()
+
+
+def announce_fresh(fleet: Fleet, service: str) -> None:
+    """Announce a service that only one version's routes point at, in each zone."""
+    backend = fleet.backends[0]
+    for node in fleet.nodes[: len(ZONES)]:
+        announcement = {
+            "server": f"{service}-{node.name}",
+            "service": service,
+            "version": "1",
+            "address": backend.address,
+            "slots": 4,
+            "connections": 8,
+        }
+        try:
+            fleet.post_json(node.operator, "/announce", announcement)
+        except (OSError, urllib3.exceptions.HTTPError):
+            continue  # the node is down
+
+
+def probe(sight: Sight, target: Target, pause_s: float) -> None:
+    """Watch one node from outside until the experiment ends."""
+    router: Router | None = None
+    while not target.ended:
+        try:
+            router = router or Router(sight.node.entry)
+            probe_once(router, sight, target)
+        except NoVersionError:
+            sight.unready_calls += 1
+        except (OSError, CutAnswerError, ValueError):
+            sight.lost_calls += 1
+            router = None
+        time.sleep(pause_s)
+
+
+def probe_once(router: Router, sight: Sight, target: Target) -> None:
+    """Ask whether the latest version is in force, as both customers."""
+    number = target.number
+    highest = max(sight.in_force, default=0)
+    if not is_allowed(router, f"/probe/{number}", TOKENS[0]):
+        if highest and not is_any_in_force(router, highest, number + 1):
+            sight.regressions += 1
+        return
+    sight.in_force.setdefault(number, time.monotonic())
+    second = is_allowed(router, f"/probe/{number}", TOKENS[1])
+    if not second and not is_any_in_force(router, number + 1, number + 1):
+        sight.partial_applies += 1
+    if number > 1 and is_allowed(router, f"/probe/{number - 1}", TOKENS[1]):
+        sight.partial_applies += 1
+    if highest < number:
+        answer = router.call(build_request(f"/fresh/{number}", TOKENS[0]))
+        dangling = answer.find(b"monsoontray-refusal") == b"no-server"
+        sight.dangling_routes += dangling
+
+
+def is_any_in_force(router: Router, lowest: int, highest: int) -> bool:
+    """Say whether one of some versions is in force at a node.
+
+    They are asked for upwards, so that a node that moves on meanwhile is met; a
+    version may come into force before its proposer has the answer.
+    """
+    numbers = range(lowest, highest + 1)
+    return any(is_allowed(router, f"/probe/{n}", TOKENS[1]) for n in numbers)
+
+
+def is_allowed(router: Router, path: str, token: str) -> bool:
+    """Say whether a node's version in force allows a call."""
+    answer = router.call(build_request(path, token))
+    refusal = answer.find(b"monsoontray-refusal")
+    if refusal == b"no-version":
+        raise NoVersionError
+    return refusal not in (b"not-in-plan", b"unknown-customer")
+
+
+def count_broken_promises(sights: list[Sight]) -> dict[str, Any]:
+    """Return what every experiment must find to be 0."""
+    return {
+        "version_regressions": sum(sight.regressions for sight in sights),
+        "partial_applies": sum(sight.partial_applies for sight in sights),
+        "dangling_routes": sum(sight.dangling_routes for sight in sights),
+    }
+
+
+class Watch:
+    """Own the probers of a fleet and remember when versions were accepted."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.target = Target()
+        self.sights = [Sight(node) for node in fleet.nodes]
+        self.accepted: dict[int, float] = {}
+        pause_s = PROBE_PAUSE_S * len(fleet.nodes)
+        self._probers = [
+            threading.Thread(
+                target=probe, args=(sight, self.target, pause_s), daemon=True
+            )
+            for sight in self.sights
+        ]
+        self._probers.append(threading.Thread(target=self._repeat, daemon=True))
+
+    def start(self) -> None:
+        """Have the first version accepted and start the probers."""
+        if not self.propose():
+            raise FleetError("the first version was not accepted")
+        for prober in self._probers:
+            prober.start()
+
+    def propose(self) -> bool:
+        """Propose the next version; say whether it was accepted."""
+        accepted_at = propose(self.fleet, self.target)
+        if accepted_at:
+            self.accepted[self.target.number] = accepted_at
+        return bool(accepted_at)
+
+    def propose_until(self, deadline: float, interval_s: float) -> None:
+        """Propose a version at every interval until a deadline."""
+        while time.monotonic() < deadline:
+            self.propose()
+            time.sleep(max(0.0, min(interval_s, deadline - time.monotonic())))
+
+    def wait_until_seen(self, nodes: list[NodeHandle], timeout_s: float) -> float:
+        """Return when the latest version was seen at nodes, or now at the limit."""
+        number = self.target.number
+        names = {node.name for node in nodes}
+        sights = [sight for sight in self.sights if sight.node.name in names]
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            if all(number in sight.in_force for sight in sights):
+                return max(sight.in_force[number] for sight in sights)
+            time.sleep(0.02)
+        return time.monotonic()
+
+    def _repeat(self) -> None:
+        """Repeat the announcements of the latest versions' services."""
+        while not self.target.ended:
+            for number in (self.target.number, self.target.number + 1):
+                announce_fresh(self.fleet, f"fresh-{number}")
+            time.sleep(ANNOUNCE_INTERVAL_S)
+
+    def end(self) -> None:
+        """End the probers."""
+        self.target.ended = True
+        for prober in self._probers:
+            prober.join()
+
+    def summarize(self) -> dict[str, Any]:
+        """Return the figures of convergence."""
+        latest = max(self.accepted)
+        times = [
+            max(0.0, sight.in_force[number] - accepted_at)
+            for number, accepted_at in self.accepted.items()
+            for sight in self.sights
+            if number in sight.in_force
+        ]
+        points = statistics.quantiles(times, n=100, method="inclusive")
+        never_seen = sum(latest not in sight.in_force for sight in self.sights)
+        return {
+            "changes": len(self.accepted),
+            "converge_p50_s": round(points[49], 3),
+            "converge_p99_s": round(points[98], 3),
+            "converge_max_s": round(max(times), 3),
+            "never_seen": never_seen,
+            "lost_probe_calls": sum(sight.lost_calls for sight in self.sights),
+            **count_broken_promises(self.sights),
+        }
--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -66,7 +66,7 @@
     """Hold one connection through a link."""
 
     link: Link
-    port: int  # of the process that opened it
+    ports: tuple[int, int]  # of the process that opened it, and of the link
     writers: list[asyncio.StreamWriter]
     source: str | None = None  # label of that process, once it was looked up
     open_gate: asyncio.Event = field(default_factory=asyncio.Event)
@@ -144,8 +144,9 @@
         self, link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Pass one connection until either end closes."""
-        port: int = writer.get_extra_info("peername")[1]
-        passage = Passage(link, port, [writer])
+        far_port: int = writer.get_extra_info("peername")[1]
+        near_port: int = writer.get_extra_info("sockname")[1]
+        passage = Passage(link, (far_port, near_port), [writer])
         link.connections += 1
         self.passages.add(passage)
         try:
@@ -228,7 +229,7 @@
         inodes = _read_inodes()
         labels = _read_owners(self.labels)
         for passage in unknown:
-            passage.source = labels.get(inodes.get(passage.port, ""), "")
+            passage.source = labels.get(inodes.get(passage.ports, ""), "")
 
 
 def _matches(passage: Passage, key: tuple[str, str]) -> bool:
@@ -237,19 +238,21 @@
     return source in (ANY, passage.source) and target in (ANY, link.label, link.name)
 
 
-def _read_inodes() -> dict[int, str]:
-    """Return the inode of the loopback socket that is bound to each port.
+def _read_inodes() -> dict[tuple[int, int], str]:
+    """Return the inode of each loopback socket by its ports, near and far.
 
-    Some clients open sockets of the newer family to reach IPv4 addresses.
+    Sockets to different far ports may share a near one. Some clients open sockets
+    of the newer family to reach IPv4 addresses.
     """
     inodes = {}
     for table, prefix in _SOCKET_TABLES:
         with open(table) as lines:
             for line in lines:
                 cells = line.split()
-                address, _, port = cells[1].partition(":")
+                address, _, near_port = cells[1].partition(":")
+                far_port = cells[2].rpartition(":")[2]
                 if address == prefix:
-                    inodes[int(port, 16)] = cells[9]
+                    inodes[int(near_port, 16), int(far_port, 16)] = cells[9]
     return inodes
 
 
