Keep a restarted node from serving less than its peers told; spread starts

Cause: found while writing the model: a node that starts with the store out put the first version it had fetched in force once three peers had answered, also when one of them had told of a higher one (its fetch was on the way). Change: what a node knows of versions is one pure class, VersionKeeper; its baseline without the store is the highest version that the peers told of; peers' news is taken before they are counted. First store calls are spread over start_spread_ms, and a node waits for the peers it greeted before it tries for the lease.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -36,7 +36,7 @@
     """Run the demo; return the exit code."""
     begun = time.monotonic()
     try:
-        with Fleet() as fleet:
+        with Fleet(node_settings={"start_spread_ms": 100}) as fleet:
             _show(fleet)
     except DemoFailedError as error:
         print(f"\nThe demo failed: {error}", file=sys.stderr)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -59,6 +59,7 @@
     nodes: list[NodeHandle] = field(default_factory=list)
     backends: list[BackendHandle] = field(default_factory=list)
     store_address: str = ""
+    node_settings: dict[str, Any] = field(default_factory=dict)  # of every node
     probe_path: str = "/"
     probe_token: str = ""
     proxy_address: str = ""
@@ -165,6 +166,7 @@
             "peer_address": peer,
             "operator_address": operator,
             "store_endpoints": [f"http://{store}"],
+            **self.node_settings,
             **settings,
         }
         path.write_text(json.dumps(document))
--- a/bench/standins/backend.py
+++ b/bench/standins/backend.py
@@ -23,6 +23,7 @@
 ANNOUNCE_INTERVAL_S = 1.5
 TIMEOUT_HEADER = "Monsoontray-Timeout-Ms"
 POISON = b"poison"
+DEADLINE_GRACE_S = 0.05
 MS_PER_S = 1000
 
 
@@ -158,13 +159,13 @@
         observed.most_at_once = max(observed.most_at_once, self.running)
         self.transports.add(request.transport)
         observed.most_connections = max(observed.most_connections, len(self.transports))
-        limit_ms = request.headers.get(TIMEOUT_HEADER)
+        limit_s = _read_limit(request)
         try:
             if self.running > self.find_capacity():
                 observed.over_capacity += 1
                 observed.shed += 1
                 return web.Response(status=503, text="overloaded\n")
-            async with asyncio.timeout(int(limit_ms) / MS_PER_S if limit_ms else None):
+            async with asyncio.timeout(limit_s):
                 return await self.run_call(request)
         except TimeoutError:
             observed.past_deadline += 1
@@ -235,6 +236,12 @@
         return late and loaded and path.startswith(behaviour.bad_prefix)
 
 
+def _read_limit(request: web.Request) -> float | None:
+    """Return how long to work on a call; its node ends it a little sooner."""
+    limit_ms = request.headers.get(TIMEOUT_HEADER)
+    return int(limit_ms) / MS_PER_S + DEADLINE_GRACE_S if limit_ms else None
+
+
 async def drain(backend: Backend) -> None:
     """Leave, then end when the running calls have ended."""
     await backend.leave()
--- a/monsoontray/configuration/service.py
+++ b/monsoontray/configuration/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from functools import singledispatch
 from typing import Any
 
@@ -19,22 +18,14 @@
     VersionInUse,
 )
 from monsoontray.decisions.admission import Entitlements
-from monsoontray.decisions.adoption import (
-    Adoption,
-    AdoptionState,
-    enforce,
-    hear_of,
-    may_enforce,
-)
+from monsoontray.decisions.adoption import Adoption
 from monsoontray.decisions.enforcement import (
     REFERENCE_WAIT_S,
-    Baseline,
     Pending,
     Readiness,
-    decide_readiness,
     find_missing,
-    have_peers_answered,
 )
+from monsoontray.decisions.keeper import VersionKeeper
 from monsoontray.decisions.servers import ServerTable
 from monsoontray.forwarding.messages import EnforceEntitlements, UseServers
 from monsoontray.kernel.kernel import Kernel, Registration
@@ -53,12 +44,10 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(NAME, kernel, handle_message)
-        self._state = AdoptionState()
-        self._baseline = Baseline()
+        self._keeper = VersionKeeper()
         self._servers = ServerTable()
         self._version: Version | None = None
         self._content = b""
-        self._pending: Pending | None = None
         self._pending_version: Version | None = None
         self._pending_content = b""
         self._fetching: dict[VersionName, float] = {}
@@ -67,11 +56,7 @@
 
     def find_next_deadline(self) -> float | None:
         """Return when the pending version need not wait any longer."""
-        if self._pending is None or not self._baseline.is_known():
-            return None
-        if self._is_below_baseline(self._pending):
-            return None
-        return self._pending.deadline
+        return self._keeper.find_next_deadline()
 
     def wake(self) -> None:
         """Enforce the pending version if it may be enforced now."""
@@ -80,7 +65,7 @@
     def hear_of(self, message: VersionHeard) -> None:
         """Fetch a newer version from the peer that has it."""
         now = self.clock.now()
-        self._state, adoption = hear_of(self._state, message.name)
+        adoption = self._keeper.hear_of(message.name)
         if adoption is Adoption.FORK:
             self._refuse(f"version {message.name.number} has a second digest")
             return
@@ -93,10 +78,7 @@
         """Check a fetched version whole and let it wait for its references."""
         name = message.name
         self._fetching.pop(name, None)
-        if not may_enforce(self._state, name):
-            return
-        pending = self._pending
-        if pending is not None and name.number <= pending.entitlements.name.number:
+        if not self._keeper.wants(name):
             return
         try:
             version = decode_version(message.content, name)
@@ -104,7 +86,7 @@
             self._refuse(str(error))
             return
         deadline = self.clock.now() + REFERENCE_WAIT_S
-        self._pending = Pending(Entitlements(name, version), deadline)
+        self._keeper.offer(Pending(Entitlements(name, version), deadline))
         self._pending_version = version
         self._pending_content = message.content
         self._enforce_if_ready()
@@ -115,14 +97,13 @@
 
     def set_baseline(self, name: VersionName) -> None:
         """Take the head of the store as the least version to serve."""
-        self._baseline = replace(self._baseline, name=name)
+        self._keeper.learn_head(name)
         self._enforce_if_ready()
 
     def count_peers(self, message: PeersAnswered) -> None:
         """Take answers of peers in place of a store that does not serve."""
-        if have_peers_answered(message.answered, message.known):
-            self._baseline = replace(self._baseline, peers_answered=True)
-            self._enforce_if_ready()
+        self._keeper.count_answers(message.answered, message.known)
+        self._enforce_if_ready()
 
     def use_servers(self, servers: ServerTable) -> None:
         """Take a changed table of the fleet's servers."""
@@ -133,32 +114,26 @@
 
     def read_content(self, name: VersionName) -> bytes:
         """Return the content of a version if it is in force here."""
-        return self._content if name == self._state.in_force else b""
+        return self._content if name == self._keeper.get_in_force() else b""
 
     def describe(self) -> VersionInUse:
         """Return the version in force."""
         return VersionInUse(
-            self._state.in_force, self._version, self._waiting_routes, self._refused
+            self._keeper.get_in_force(),
+            self._version,
+            self._waiting_routes,
+            self._refused,
         )
 
-    def _is_below_baseline(self, pending: Pending) -> bool:
-        name = self._baseline.name
-        return name is not None and pending.entitlements.name.number < name.number
-
     def _enforce_if_ready(self) -> None:
-        pending = self._pending
-        if pending is None:
-            return
-        now = self.clock.now()
-        readiness = decide_readiness(pending, self._baseline, self._servers, now)
+        readiness = self._keeper.decide(self._servers, self.clock.now())
         if readiness is not Readiness.READY:
-            logger.debug("version waits: {}", readiness.value)
+            if readiness is not None:
+                logger.debug("version waits: {}", readiness.value)
             return
-        entitlements = pending.entitlements
-        self._state = enforce(self._state, entitlements.name)
+        entitlements = self._keeper.enforce_pending().entitlements
         self._version = self._pending_version
         self._content = self._pending_content
-        self._pending = None
         self._pending_version = None
         self._pending_content = b""
         self._refused = ""
@@ -170,14 +145,14 @@
 
     def _tell_waiting(self) -> None:
         assert self._version is not None
-        entitlements = Entitlements(self._state.in_force, self._version)
+        entitlements = Entitlements(self._keeper.get_in_force(), self._version)
         missing = find_missing(entitlements, self._servers)
         if missing != self._waiting_routes:
             self._waiting_routes = missing
             self._tell_in_force()
 
     def _tell_in_force(self) -> None:
-        message = VersionInForce(self._state.in_force, self._waiting_routes)
+        message = VersionInForce(self._keeper.get_in_force(), self._waiting_routes)
         self.kernel.post("membership", message)
 
     def _refuse(self, why: str) -> None:
--- a/monsoontray/configuration/watcher.py
+++ b/monsoontray/configuration/watcher.py
@@ -50,6 +50,7 @@
 DIRECTORY_INTERVAL_S = 2.0  # between comparisons of the zone's directory
 SEED_COUNT = 8
 ASK_TIMEOUT_S = 1.0
+GREETING_S = 1.0  # time that greeted nodes have to answer
 RENEWALS_PER_LEASE = 3
 
 
@@ -74,8 +75,12 @@
         self._baseline_known = False
         self._peers_known = False
         self._failures = 0
-        self._next_step = kernel.clock.now()
+        spread_s = settings.get_seconds("start_spread_ms")
+        started = kernel.clock.now()
+        self._next_step = started + spread_s * self._random.random()
         self._next_directory = 0.0
+        # While peers may still answer, the zone's watcher may be among them.
+        self._greeted_until = 0.0
 
     def find_next_deadline(self) -> float | None:
         """Return when the next step is due."""
@@ -101,8 +106,15 @@
         if not self._baseline_known and not self._find_baseline():
             return False
         fleet = self._read_fleet()
-        if not self._peers_known and not self._find_peers(fleet):
-            return False
+        if not self._peers_known:
+            if now < self._greeted_until and len(fleet.records) < 2:
+                self._next_step = now + GREETING_S / 4
+                return True
+            if not self._find_peers(fleet):
+                return False
+            if now < self._greeted_until:
+                self._next_step = now + GREETING_S / 4
+                return True
         if self._lease is None or self._lease.deadline <= now:
             if not self._may_try_lease(fleet):
                 self._next_step = now + self._lifetime_s * (1 + self._random.random())
@@ -138,6 +150,7 @@
         seeds = self._choose_seeds(self._read_directory(record))
         if seeds:
             self.kernel.post("membership", SeedsFound(seeds))
+            self._greeted_until = self.clock.now() + GREETING_S
         return True
 
     def _choose_seeds(self, directory: Directory) -> tuple[str, ...]:
--- a/monsoontray/decisions/enforcement.py
+++ b/monsoontray/decisions/enforcement.py
@@ -13,18 +13,6 @@
 PEERS_FOR_BASELINE = 3  # nodes that must answer when the store does not
 
 
-@dataclass(slots=True, frozen=True)
-class Baseline:
-    """Hold what is known of the version below which a node must not serve."""
-
-    name: VersionName | None = None  # from the store
-    peers_answered: bool = False
-
-    def is_known(self) -> bool:
-        """Say whether serving may begin."""
-        return self.name is not None or self.peers_answered
-
-
 class Readiness(enum.Enum):
     """Say whether a version may come into force now."""
 
@@ -57,13 +45,12 @@
 
 
 def decide_readiness(
-    pending: Pending, baseline: Baseline, servers: ServerTable, now: float
+    pending: Pending, baseline: VersionName | None, servers: ServerTable, now: float
 ) -> Readiness:
     """Decide whether a pending version may come into force."""
-    if not baseline.is_known():
+    if baseline is None:
         return Readiness.BASELINE_UNKNOWN
-    number = pending.entitlements.name.number
-    if baseline.name is not None and number < baseline.name.number:
+    if pending.entitlements.name.number < baseline.number:
         return Readiness.BELOW_BASELINE
     if now < pending.deadline and find_missing(pending.entitlements, servers):
         return Readiness.REFERENCES_MISSING
--- a/monsoontray/membership/service.py
+++ b/monsoontray/membership/service.py
@@ -176,8 +176,8 @@
         """Merge a peer's answer and repair the differences that it shows."""
         exchange = message.exchange
         self.fleet.note_success(exchange.sender)
-        self._note_answer(exchange.sender)
         self.take_exchange(exchange)
+        self._note_answer(exchange.sender)  # after what the peer told
         if not exchange.stamps:
             return
         differences = self.fleet.compare(exchange.stamps)
--- a/monsoontray/settings/declarations.py
+++ b/monsoontray/settings/declarations.py
@@ -250,6 +250,15 @@
         least=100,
         most=300_000,
     ),
+    Declaration(
+        "start_spread_ms",
+        int,
+        "Time over which nodes that start together spread their first store calls.",
+        default=2_000,
+        unit="ms",
+        least=0,
+        most=60_000,
+    ),
     Declaration(
         "stop_grace_ms",
         int,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,7 +9,7 @@
 from bench.fleet import Fleet
 from bench.lists import build_customer, build_lists, build_plan, build_route
 from monsoontray.kernel.clock import ManualClock
-from tests.trio import SERVICES, TOKEN, start_trio
+from tests.trio import SERVICES, SOON, TOKEN, start_trio
 
 
 @pytest.fixture
@@ -19,14 +19,14 @@
 
 @pytest.fixture
 def fleet() -> Iterator[Fleet]:
-    with Fleet() as fleet:
+    with Fleet(node_settings=dict(SOON)) as fleet:
         yield fleet
 
 
 @pytest.fixture(scope="session")
 def trio() -> Iterator[Fleet]:
     """Three nodes in three zones with two catalogue servers; tests only call it."""
-    with Fleet() as fleet:
+    with Fleet(node_settings=dict(SOON)) as fleet:
         start_trio(fleet)
         routes = [build_route(f"/{service}", service) for service in SERVICES]
         lists = build_lists(
--- a/tests/test_decisions/test_adoption.py
+++ b/tests/test_decisions/test_adoption.py
@@ -12,12 +12,12 @@
     may_enforce,
 )
 from monsoontray.decisions.enforcement import (
-    Baseline,
     Pending,
     Readiness,
     decide_readiness,
     have_peers_answered,
 )
+from monsoontray.decisions.keeper import VersionKeeper
 from monsoontray.decisions.servers import Endpoint, ServerTable
 from monsoontray.plans.model import (
     NO_VERSION,
@@ -72,7 +72,7 @@
 
 
 def test_a_version_waits_for_what_its_routes_point_at():
-    known = Baseline(NO_VERSION)
+    known = NO_VERSION
     pending = build_pending(1)
     for table in (ServerTable(), build_table("scans")):
         readiness = decide_readiness(pending, known, table, 9.0)
@@ -84,7 +84,7 @@
 
 def test_a_restarted_node_serves_nothing_below_the_head():
     table = build_table("swatches")
-    baseline = Baseline(VersionName(3, "d"))
+    baseline = VersionName(3, "d")
     older = decide_readiness(build_pending(2), baseline, table, 0.0)
     assert older is Readiness.BELOW_BASELINE
     assert decide_readiness(build_pending(3), baseline, table, 0.0) is Readiness.READY
@@ -92,11 +92,26 @@
 
 def test_without_the_store_a_restarted_node_waits_for_peers():
     table = build_table("swatches")
-    unknown = decide_readiness(build_pending(2), Baseline(), table, 0.0)
-    assert unknown is Readiness.BASELINE_UNKNOWN
-    answered = Baseline(None, peers_answered=True)
-    assert decide_readiness(build_pending(2), answered, table, 0.0) is Readiness.READY
-    assert not have_peers_answered(2, 9)
-    assert have_peers_answered(3, 9)
+    keeper = VersionKeeper()
+    keeper.offer(build_pending(2))
+    assert keeper.decide(table, 0.0) is Readiness.BASELINE_UNKNOWN
+    keeper.count_answers(2, 9)
+    assert keeper.decide(table, 0.0) is Readiness.BASELINE_UNKNOWN
+    keeper.count_answers(3, 9)
+    assert keeper.decide(table, 0.0) is Readiness.READY
+
+
+def test_a_restarted_node_serves_nothing_below_what_its_peers_told():
+    table = build_table("swatches")
+    keeper = VersionKeeper()
+    keeper.offer(build_pending(2))
+    assert keeper.hear_of(VersionName(3, "d")) is Adoption.FETCH
+    keeper.count_answers(3, 9)
+    assert keeper.decide(table, 0.0) is Readiness.BELOW_BASELINE
+    keeper.offer(build_pending(3))
+    assert keeper.decide(table, 0.0) is Readiness.READY
+
+
+def test_a_few_peers_are_enough_when_there_are_no_more():
     assert have_peers_answered(1, 1)
     assert not have_peers_answered(0, 0)
--- a/tests/test_forwarding/test_malformed.py
+++ b/tests/test_forwarding/test_malformed.py
@@ -13,7 +13,7 @@
 
 from bench.fleet import Fleet
 from tests.test_forwarding.test_calls import start_lone_fleet
-from tests.trio import TOKEN
+from tests.trio import SOON, TOKEN
 
 EXAMPLES = 1_000
 HEAD = (
@@ -100,7 +100,7 @@
 @pytest.fixture(scope="module")
 def strict():
     """Start a node that ends slow callers soon, before a strict server."""
-    with Fleet() as fleet:
+    with Fleet(node_settings=dict(SOON)) as fleet:
         entry, _guard = start_lone_fleet(
             fleet, head_timeout_ms=100, idle_timeout_ms=120, call_timeout_ms=1_000
         )
--- a/tests/trio.py
+++ b/tests/trio.py
@@ -9,6 +9,7 @@
 
 TOKEN = "token-of-the-tests"
 ZONES = ("zone-a", "zone-b", "zone-c")
+SOON = {"start_spread_ms": 50}
 SERVICES = ("catalogue", "slow", "nowhere")
 
 
