Replace connections between nodes that went silent; wait for versions

An operator's change read the head over a silent connection and was refused as not done. Change: a channel is replaced after two failed calls in a row; acceptance reads once more over a new connection. New: config status and config wait, answered when the marks of all living nodes are there; no task polls for it. Before: the new test fails without the change. After: green three times in a row; the paused-watcher test now waits until each zone has a watcher, since starts are spread (it failed once in 6 for that).

--- a/monsoontray/commands/client.py
+++ b/monsoontray/commands/client.py
@@ -21,12 +21,15 @@
     Status,
     Verdict,
     VersionSummary,
+    WaitAnswer,
 )
 from monsoontray.plans.model import Version
 
 NODE_VARIABLE = "MONSOONTRAY_NODE"
 DEFAULT_NODE = "http://127.0.0.1:7004"
 READ_TIMEOUT_S = 35.0
+LONGEST_WAIT_S = 20.0  # of one request that waits
+MS_PER_S = 1000
 CONNECT_TIMEOUT_S = 2.0
 
 
@@ -59,6 +62,13 @@
         summaries: list[VersionSummary] = self._decode(answer, list[VersionSummary])
         return summaries
 
+    def wait(self, version: int, wait_s: float) -> WaitAnswer:
+        """Return when a version is everywhere, or after some time."""
+        timeout_ms = int(min(wait_s, LONGEST_WAIT_S) * MS_PER_S)
+        path = f"/wait?version={version}&timeout_ms={timeout_ms}"
+        answer: WaitAnswer = self._decode(self._send("GET", path), WaitAnswer)
+        return answer
+
     def validate(self, lists: bytes) -> Verdict:
         """Have lists checked."""
         return self._read_verdict(self._send("POST", "/validate", lists))
--- a/monsoontray/commands/errors.py
+++ b/monsoontray/commands/errors.py
@@ -7,6 +7,7 @@
 EXIT_USAGE = 2  # the command line itself is wrong
 EXIT_OVERTAKEN = 3  # somebody else changed it first
 EXIT_UNAVAILABLE = 4  # the node or the platform's service did not serve
+EXIT_LATE = 6  # a version is not in force everywhere by the deadline
 EXIT_UNKNOWN = 5  # the change may have been accepted or not
 
 
--- a/monsoontray/commands/tree.py
+++ b/monsoontray/commands/tree.py
@@ -4,6 +4,7 @@
 
 import getpass
 import sys
+import time
 from collections.abc import Iterator
 from difflib import unified_diff
 from pathlib import Path
@@ -13,7 +14,12 @@
 
 from monsoontray import __version__
 from monsoontray.commands.client import NodeClient
-from monsoontray.commands.errors import EXIT_REFUSED, EXIT_USAGE, CommandError
+from monsoontray.commands.errors import (
+    EXIT_LATE,
+    EXIT_REFUSED,
+    EXIT_USAGE,
+    CommandError,
+)
 from monsoontray.commands.tables import render_table, render_time
 from monsoontray.operators.shapes import Status
 from monsoontray.plans.encoding import decode_lists
@@ -107,6 +113,32 @@
             render_table(("version", "accepted", "author", "customers", "plans"), rows)
         )
 
+    def status(self, node: str = "", json: bool = False) -> None:
+        """Show at how many nodes of each zone which version is in force."""
+        status = NodeClient(str(node)).read_status()
+        if json:
+            told = {"version": status.version, "zones": status.zones}
+            _print_json({**told, "refused": status.refused})
+        else:
+            _print_zones(status)
+
+    def wait(
+        self, version: int, deadline: float = 13.0, node: str = "", json: bool = False
+    ) -> None:
+        """Wait until a version is in force everywhere, --deadline seconds at most."""
+        _check_number("VERSION", version)
+        _check_number("--deadline", deadline)
+        client = NodeClient(str(node))
+        ends_at = time.monotonic() + deadline
+        answer = client.wait(version, deadline)
+        while not answer.reached and time.monotonic() < ends_at:
+            answer = client.wait(version, ends_at - time.monotonic())
+        if not answer.reached:
+            behind = _join(answer.behind)
+            message = f"version {version} is not in force at {behind}"
+            raise CommandError(message, EXIT_LATE)
+        _report(answer, f"version {version} is in force everywhere", json)
+
     def diff(self, file: str, node: str = "", json: bool = False) -> None:
         """Show how a file of lists differs from the version in force."""
         version = NodeClient(str(node)).read_version()
@@ -234,16 +266,25 @@
         print(text)
 
 
-def _print_status(status: Status) -> None:
-    print(f"node {status.node}: version {status.version}, {status.calls} calls now")
+def _check_number(name: str, value: object) -> None:
+    if not isinstance(value, int | float) or isinstance(value, bool) or value < 0:
+        raise CommandError(f"{name} must be a number, not {value!r}", EXIT_USAGE)
+
+
+def _print_zones(status: Status) -> None:
+    print(f"version {status.version} at node {status.node}")
     if status.refused:
         print(f"latest version refused: {status.refused}")
     zone_rows = [
         (zone.zone, str(zone.nodes), _join_versions(zone.versions), _join(zone.behind))
         for zone in status.zones
     ]
-    print()
     print(render_table(("zone", "nodes", "version: nodes", "behind"), zone_rows))
+
+
+def _print_status(status: Status) -> None:
+    print(f"node {status.node}: {status.calls} calls now")
+    _print_zones(status)
     print()
     print(
         render_table(
--- a/monsoontray/configuration/acceptance.py
+++ b/monsoontray/configuration/acceptance.py
@@ -41,6 +41,7 @@
     Conflict,
     Done,
     NotDone,
+    ReadOutcome,
     Record,
     Unknown,
 )
@@ -70,7 +71,7 @@
             lists = decode_lists(message.lists)
         except InvalidListsError as error:
             return Rejected(tuple(error.faults))
-        record = self._client.get(HEAD_KEY)
+        record = self._read(HEAD_KEY)
         if isinstance(record, NotDone):
             return StoreFailed(record.cause.value)
         head = decode_head(record)
@@ -80,7 +81,7 @@
 
     def read_history(self, count: int) -> HistoryOutcome:
         """Return the latest versions, the newest first."""
-        record = self._client.get(HEAD_KEY)
+        record = self._read(HEAD_KEY)
         if isinstance(record, NotDone):
             return StoreFailed(record.cause.value)
         versions: list[Version] = []
@@ -129,7 +130,7 @@
                 return StoreFailed(outcome.cause.value)
             if not isinstance(outcome, Conflict):
                 cause = outcome.cause.value
-            record = self._client.get(HEAD_KEY)
+            record = self._read(HEAD_KEY)
             if isinstance(record, NotDone):
                 continue
             if record.revision != revision:
@@ -143,7 +144,7 @@
         if isinstance(outcome, Done | Conflict):
             return None  # a conflict means that the same content is there
         if isinstance(outcome, Unknown):
-            found = self._client.get(key)
+            found = self._read(key)
             if isinstance(found, Record) and found.value == content:
                 return None
         return StoreFailed(outcome.cause.value)
@@ -169,8 +170,15 @@
             author = "" if isinstance(version, StoreFailed) else version.author
         return Overtaken(based_on, head.number, author)
 
+    def _read(self, key: str) -> ReadOutcome:
+        """Read a key; try again once, since a kept connection may have gone silent."""
+        outcome = self._client.get(key)
+        if isinstance(outcome, NotDone):
+            return self._client.get(key)
+        return outcome
+
     def _read_version(self, name: VersionName) -> Version | StoreFailed:
-        record = self._client.get(build_version_key(name))
+        record = self._read(build_version_key(name))
         if isinstance(record, NotDone):
             return StoreFailed(record.cause.value)
         try:
--- a/monsoontray/decisions/fleet.py
+++ b/monsoontray/decisions/fleet.py
@@ -4,14 +4,13 @@
 
 import enum
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from math import ceil, log2
 from random import Random
 
 from monsoontray.decisions.servers import (
     Endpoint,
-    Place,
     ServerRecord,
     ServerState,
     ServerTable,
@@ -275,13 +274,16 @@
             ]
         return ServerTable(endpoints)
 
-    def find_watcher(self, place: Place) -> str:
-        """Return the node that watches the store for a zone, or nothing."""
-        for record in self._records.values():
-            same = record.zone == place.zone and record.region == place.region
-            if same and record.watching and record.state is NodeState.ALIVE:
-                return record.node
-        return ""
+    def find_behind(self, number: int, numbers: Mapping[str, int]) -> tuple[str, ...]:
+        """Return the living nodes whose version in force is below a number."""
+        return tuple(
+            sorted(
+                record.node
+                for record in self._records.values()
+                if record.state is not NodeState.DEAD
+                and numbers.get(record.node, 0) < number
+            )
+        )
 
     def _refute(self, record: NodeRecord) -> bool:
         """Answer what others say of this node with something newer."""
--- a/monsoontray/membership/messages.py
+++ b/monsoontray/membership/messages.py
@@ -94,6 +94,22 @@
     versions: dict[str, int]  # node to the number of its version in force
 
 
+@dataclass(slots=True, frozen=True)
+class WaitForVersion:
+    """Ask to be told when every node has a version in force, or at the deadline."""
+
+    number: int
+    deadline: float
+    reply: Reply
+
+
+@dataclass(slots=True, frozen=True)
+class NodesBehind:
+    """Name the living nodes below a version; none means that it is everywhere."""
+
+    nodes: tuple[str, ...]
+
+
 @dataclass(slots=True, frozen=True)
 class SendExchange:
     """Send an exchange to a peer."""
@@ -103,6 +119,20 @@
     exchange: Exchange
 
 
+@dataclass(slots=True, frozen=True)
+class ChannelFailed:
+    """Note that a call over the channel to an address failed."""
+
+    address: str
+
+
+@dataclass(slots=True, frozen=True)
+class ChannelWorked:
+    """Note that a call worked over a channel on which one had failed."""
+
+    address: str
+
+
 @dataclass(slots=True, frozen=True)
 class FetchFromPeer:
     """Fetch a version's content from a peer."""
--- a/monsoontray/membership/peers.py
+++ b/monsoontray/membership/peers.py
@@ -28,6 +28,8 @@
 )
 from monsoontray.membership.errors import MalformedExchangeError
 from monsoontray.membership.messages import (
+    ChannelFailed,
+    ChannelWorked,
     ExchangeAnswered,
     ExchangeFailed,
     ExchangeReceived,
@@ -42,6 +44,7 @@
 SERVER_THREADS = 4
 MAX_CHANNELS = 32  # connections kept to peers
 FETCH_TIMEOUT_S = 3.0
+FAILURES_TO_REPLACE = 2  # failed calls in a row after which a channel is replaced
 STOP_GRACE_S = 0.2
 _CHANNEL_OPTIONS = (
     ("grpc.enable_http_proxy", 0),
@@ -106,6 +109,7 @@
         self._address = str(settings.get_bind_address("peer_address"))
         self._timeout_s = settings.get_seconds("exchange_timeout_ms")
         self._channels: dict[str, grpc.Channel] = {}
+        self._failures: dict[str, int] = {}  # in a row, by address
         self._server: grpc.Server | None = None
 
     def open(self) -> None:
@@ -130,18 +134,51 @@
         stub = peer_pb2_grpc.PeerStub(self._find_channel(message.address))
         request = encode_exchange(message.exchange)
         future = stub.Swap.future(request, timeout=self._timeout_s)
-        future.add_done_callback(
-            lambda done: self.kernel.post("membership", _read_answer(done, message))
-        )
+        watched = message.address in self._failures
+
+        def take_answer(done: grpc.Future) -> None:
+            answer = _read_answer(done, message)
+            self._report(message.address, isinstance(answer, ExchangeFailed), watched)
+            self.kernel.post("membership", answer)
+
+        future.add_done_callback(take_answer)
 
     def fetch_version(self, message: FetchFromPeer) -> None:
         """Fetch a version from a peer; its content comes back as a message."""
         stub = peer_pb2_grpc.PeerStub(self._find_channel(message.address))
         request = encode_version_name(message.name)
         future = stub.FetchVersion.future(request, timeout=FETCH_TIMEOUT_S)
-        future.add_done_callback(
-            lambda done: self.kernel.post("configuration", _read_content(done, message))
-        )
+        watched = message.address in self._failures
+
+        def take_content(done: grpc.Future) -> None:
+            content = _read_content(done, message)
+            failed = isinstance(content, ContentNotFetched)
+            self._report(message.address, failed, watched)
+            self.kernel.post("configuration", content)
+
+        future.add_done_callback(take_content)
+
+    def note_failure(self, address: str) -> None:
+        """Replace a channel whose connection may have gone silent."""
+        failures = self._failures.get(address, 0) + 1
+        self._failures[address] = failures
+        if failures >= FAILURES_TO_REPLACE:
+            del self._failures[address]
+            channel = self._channels.pop(address, None)
+            if channel is not None:
+                logger.debug("channel to {} is replaced", address)
+                channel.close()
+
+    def note_success(self, address: str) -> None:
+        """Trust a channel again."""
+        self._failures.pop(address, None)
+
+    def _report(self, address: str, failed: bool, watched: bool) -> None:
+        """Tell the task how a call went; runs in a thread of gRPC."""
+        if failed:
+            self.post(ChannelFailed(address))
+        elif watched:
+            self.post(ChannelWorked(address))
 
     def _find_channel(self, address: str) -> grpc.Channel:
         channel = self._channels.pop(address, None)
@@ -186,6 +223,16 @@
     peers.send_exchange(message)
 
 
+@handle_message.register(ChannelFailed)
+def _(message: ChannelFailed, peers: Peers) -> None:
+    peers.note_failure(message.address)
+
+
+@handle_message.register(ChannelWorked)
+def _(message: ChannelWorked, peers: Peers) -> None:
+    peers.note_success(message.address)
+
+
 @handle_message.register(FetchFromPeer)
 def _(message: FetchFromPeer, peers: Peers) -> None:
     peers.fetch_version(message)
--- a/monsoontray/membership/service.py
+++ b/monsoontray/membership/service.py
@@ -25,10 +25,12 @@
     ExchangeReceived,
     FleetState,
     NodeLeaves,
+    NodesBehind,
     SeedsFound,
     SendExchange,
     ServerLeaves,
     VersionInForce,
+    WaitForVersion,
     WatchingChanged,
 )
 from monsoontray.plans.model import NO_VERSION, VersionName
@@ -81,10 +83,12 @@
         self._last_push = 0.0
         self._next_rotation = self.clock.now() + ROTATION_S
         self._answered: set[str] = set()
+        self._waiting: list[WaitForVersion] = []
 
     def find_next_deadline(self) -> float | None:
         """Return when the next exchange, push or expiry is due."""
         deadlines = [self._next_exchange, *self._local_deadlines.values()]
+        deadlines += [waiting.deadline for waiting in self._waiting]
         if self._next_push is not None:
             deadlines.append(self._next_push)
         expiry = self.fleet.find_next_deadline()
@@ -99,6 +103,7 @@
             self.marks.forget_except(r.node for r in self.fleet.get_records())
             self.publish_servers()
         self._expire_announcements(now)
+        self.answer_waiting()
         if now >= self._next_exchange:
             jitter = 0.9 + 0.2 * self.random.random()
             self._next_exchange = now + self._interval_s * jitter
@@ -119,6 +124,24 @@
             soon = self.clock.now() + PUSH_DELAY_S
             self._next_push = max(soon, self._last_push + PUSH_INTERVAL_S)
 
+    def wait_for_version(self, message: WaitForVersion) -> None:
+        """Answer when a version is everywhere, or at the deadline."""
+        self._waiting.append(message)
+        self.answer_waiting()
+
+    def answer_waiting(self) -> None:
+        """Answer those whose version is everywhere or whose deadline has passed."""
+        now = self.clock.now()
+        numbers = self.marks.get_numbers() if self._waiting else {}
+        still_waiting = []
+        for waiting in self._waiting:
+            behind = self.fleet.find_behind(waiting.number, numbers)
+            if behind and waiting.deadline > now:
+                still_waiting.append(waiting)
+            else:
+                waiting.reply.put(NodesBehind(behind))
+        self._waiting = still_waiting
+
     def publish_servers(self) -> None:
         """Give the changed table of servers to those who use it."""
         message = UseServers(self.fleet.build_servers())
@@ -197,6 +220,7 @@
         """Merge what a peer says."""
         if self.marks.merge(exchange.marks):
             self.push_soon()
+            self.answer_waiting()
         if self.fleet.merge(exchange.records, self.clock.now()):
             self.publish_servers()
             self.push_soon()
@@ -325,6 +349,12 @@
         record = replace(own, waiting_routes=message.waiting_routes)
         membership.change_own(record)
     membership.push_soon()
+    membership.answer_waiting()
+
+
+@handle_message.register(WaitForVersion)
+def _(message: WaitForVersion, membership: Membership) -> None:
+    membership.wait_for_version(message)
 
 
 @handle_message.register(WatchingChanged)
--- a/monsoontray/operators/service.py
+++ b/monsoontray/operators/service.py
@@ -26,7 +26,13 @@
 from monsoontray.forwarding.messages import DescribeForwarding
 from monsoontray.kernel.errors import ReplyTimeoutError
 from monsoontray.kernel.kernel import Kernel, Registration
-from monsoontray.membership.messages import AnnounceServer, DescribeFleet, ServerLeaves
+from monsoontray.membership.messages import (
+    AnnounceServer,
+    DescribeFleet,
+    NodesBehind,
+    ServerLeaves,
+    WaitForVersion,
+)
 from monsoontray.operators.shapes import (
     Announcement,
     AnnouncementAnswer,
@@ -35,6 +41,7 @@
     Proposal,
     Verdict,
     VersionSummary,
+    WaitAnswer,
 )
 from monsoontray.operators.status import build_status
 from monsoontray.plans.encoding import decode_lists
@@ -46,7 +53,10 @@
     from monsoontray.kernel.clock import Clock
 
 NAME = "operators"
-THREADS = 4
+THREADS = 8
+MAX_WAIT_S = 60.0  # one waiting operator holds a thread
+MAX_NUMBER_DIGITS = 9
+MS_PER_S = 1000
 ASK_TIMEOUT_S = 2.0
 PROPOSAL_TIMEOUT_S = 30.0
 MAX_BODY_BYTES = 2_000_000
@@ -110,6 +120,22 @@
         )
         return write_outcome(outcome)
 
+    @cherrypy.expose
+    def wait(self, version: str = "", timeout_ms: str = "") -> bytes:
+        """Wait until a version is in force everywhere, or for the time given."""
+        for name, text in (("version", version), ("timeout_ms", timeout_ms)):
+            if not text.isdecimal() or len(text) > MAX_NUMBER_DIGITS:
+                raise _BadRequestError(f"{name!r} must be a whole number, not {text!r}")
+        wait_s = min(int(timeout_ms) / MS_PER_S, MAX_WAIT_S)
+        deadline = self._clock.now() + wait_s
+        behind: NodesBehind = self._ask(
+            "membership",
+            lambda reply: WaitForVersion(int(version), deadline, reply),
+            wait_s + ASK_TIMEOUT_S,
+        )
+        nodes = behind.nodes
+        return _write_json(WaitAnswer(int(version), not nodes, nodes))
+
     @cherrypy.expose
     def announce(self) -> bytes:
         """Take a backend server's announcement."""
--- a/monsoontray/operators/shapes.py
+++ b/monsoontray/operators/shapes.py
@@ -106,6 +106,14 @@
     nodes: tuple[NodeStatus, ...]
 
 
+class WaitAnswer(Struct, frozen=True):
+    """Say whether a version is everywhere, and at which nodes it is not."""
+
+    version: int
+    reached: bool
+    behind: tuple[str, ...]
+
+
 class Fault(Struct, frozen=True):
     """Body of an answer to a request that can't be served."""
 
--- a/tests/test_commands/test_commands.py
+++ b/tests/test_commands/test_commands.py
@@ -114,6 +114,18 @@
     assert len(status["zones"]) == 3
     assert "norte/zone-a" in run("status", second).stdout
 
+    waited = run("config", "wait", "4", "--deadline=10", third)
+    assert (waited.returncode, waited.stdout) == (
+        0,
+        "version 4 is in force everywhere\n",
+    )
+    late = run("config", "wait", "9", "--deadline=0.2", third)
+    assert_one_line(late, 6, "version 9", "node-0, node-1, node-2")
+    assert_one_line(run("config", "wait", "soon", third), 2, "'soon'")
+    zones = json.loads(run("config", "status", "--json", first).stdout)["zones"]
+    assert [zone["versions"] for zone in zones] == [{"4": 1}] * 3
+    assert "4: 1" in run("config", "status", first).stdout
+
     fleet.post_json(fleet.store_address, "/control", {"out": True})
     out = run("config", "apply", str(lists_file), first)
     assert_one_line(out, 4, "not-done")
--- a/tests/test_configuration/test_versions.py
+++ b/tests/test_configuration/test_versions.py
@@ -106,10 +106,14 @@
     start(fleet, 6, watch_lease_ms=1_000, store_timeout_ms=500)
     assert propose(fleet, 1) == "accepted"
     fleet.wait_for_version(1)
-    status = fleet.get_json(fleet.nodes[0].operator, "/status")
-    watching = {node["node"] for node in status["nodes"] if node["watching"]}
+
+    def find_watching() -> set[str]:
+        status = fleet.get_json(fleet.nodes[0].operator, "/status")
+        found = {node["node"] for node in status["nodes"] if node["watching"]}
+        return found if len(found) == len(ZONES) else set()
+
+    watching = fleet.wait_for(find_watching, "a watcher in each zone")
     paused = [node for node in fleet.nodes if node.name in watching]
-    assert len(paused) == 3
     running = [node for node in fleet.nodes if node.name not in watching]
     for node in paused:
         node.process.send_signal(signal.SIGSTOP)
@@ -145,3 +149,17 @@
     for node in fleet.nodes:
         assert call(node.entry, "/v1").status == 200
         assert read_version(fleet, node) == 1
+
+
+def test_connections_between_nodes_that_go_silent_are_replaced(fleet):
+    start(fleet, 4)
+    assert propose(fleet, 1) == "accepted"
+    fleet.wait_for_version(1)
+    cut = fleet.nodes[1]
+    fleet.set_rule("*", "*", "silence-established")
+    assert propose(fleet, 2) == "accepted"
+    fleet.wait_for_version(2)
+    fleet.set_rule(cut.zone, "store", "silence")
+    fleet.set_rule("*", "*", "silence-established")
+    assert propose(fleet, 3) == "accepted"
+    fleet.wait_for_version(3)
