--- a/bench/experiments/versions.py
+++ b/bench/experiments/versions.py
@@ -23,6 +23,7 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 TOKENS = ("token-of-first", "token-of-second")
 ANNOUNCE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_MS = "500"  # an admitted call may wait at a back end, its version not
 PROBE_PAUSE_S = 0.001  # for each node, so that all probers ask equally often
 
 
@@ -164,7 +165,8 @@
 
 def is_allowed(router: Router, path: str, token: str) -> bool:
     """Say whether a node's version in force allows a call."""
-    answer = router.call(build_request(path, token))
+    request = build_request(path, token, Monsoontray_Timeout_Ms=PROBE_TIMEOUT_MS)
+    answer = router.call(request)
     refusal = answer.find(b"monsoontray-refusal")
     if refusal == b"no-version":
         raise NoVersionError
