--- a/monsoontray/decisions/fleet.py
+++ b/monsoontray/decisions/fleet.py
@@ -15,15 +15,13 @@
     ServerState,
     ServerTable,
 )
+from monsoontray.decisions.view import View
 
 SUSPICION_S = 3.0  # time that a suspect has to refute
 TOMBSTONE_S = 120.0  # time that a dead node is remembered
 FAILURES_TO_SUSPECT = 2  # failed exchanges in a row
 NEWS_PER_EXCHANGE = 32  # records pushed in one exchange
 REPEATS_PER_DOUBLING = 0.5  # pushes of news for each doubling of the fleet
-CROSS_ZONE_SHARE = 0.25  # exchanges that leave the zone
-VIEW_NEAR = 5  # nodes of the own zone that a node exchanges with
-VIEW_FAR = 3  # nodes of other zones that it exchanges with
 MAX_STRAIN = 6  # failed exchanges that a node blames on itself at most
 
 
@@ -88,11 +86,10 @@
         "_deadlines",
         "_digest",
         "_failures",
-        "_far",
-        "_near",
         "_news",
         "_records",
         "_strain",
+        "_view",
         "own",
     )
 
@@ -103,8 +100,7 @@
         self._deadlines: dict[str, float] = {}
         self._failures: dict[str, int] = {}
         self._digest = 0
-        self._near: list[str] = []
-        self._far: list[str] = []
+        self._view = View()
         # Nodes that failed to answer lately, less exchanges that worked: a node to
         # which many do not answer is slow itself and suspects others later.
         self._strain = 0
@@ -224,42 +220,20 @@
 
     def choose_peers(self, count: int, random: Random) -> list[NodeRecord]:
         """Choose nodes of the view to exchange with, most of them in this zone."""
-        self._fill_view(random)
-        near, far = list(self._near), list(self._far)
-        chosen: list[NodeRecord] = []
-        while (near or far) and len(chosen) < count:
-            leave = not near or (bool(far) and random.random() < CROSS_ZONE_SHARE)
-            pool = far if leave else near
-            node = pool.pop(random.randrange(len(pool)))
-            chosen.append(self._records[node])
-        return chosen
+        zone = (self.own.region, self.own.zone)
+        near: list[str] = []
+        far: list[str] = []
+        for record in self._records.values():
+            if record.node == self.own.node or record.state is NodeState.DEAD:
+                continue
+            same_zone = (record.region, record.zone) == zone
+            (near if same_zone else far).append(record.node)
+        self._view.fill(near, far, random)
+        return [self._records[node] for node in self._view.choose(count, random)]
 
     def rotate_view(self, random: Random) -> None:
-        """Replace one node of the view, so that all meet in time."""
-        for members in (self._near, self._far):
-            if members:
-                members.pop(random.randrange(len(members)))
-        self._fill_view(random)
-
-    def _fill_view(self, random: Random) -> None:
-        """Drop the dead from the view and fill it up."""
-        self._near = [node for node in self._near if self._is_reachable(node)]
-        self._far = [node for node in self._far if self._is_reachable(node)]
-        zone = (self.own.region, self.own.zone)
-        if len(self._near) < VIEW_NEAR or len(self._far) < VIEW_FAR:
-            near: list[str] = []
-            far: list[str] = []
-            for record in self._records.values():
-                if record.node == self.own.node or record.state is NodeState.DEAD:
-                    continue
-                same_zone = (record.region, record.zone) == zone
-                (near if same_zone else far).append(record.node)
-            _top_up(self._near, near, VIEW_NEAR, random)
-            _top_up(self._far, far, VIEW_FAR, random)
-
-    def _is_reachable(self, node: str) -> bool:
-        record = self._records.get(node)
-        return record is not None and record.state is not NodeState.DEAD
+        """Replace a node of the view on each side."""
+        self._view.drop_one(random)
 
     def build_servers(self) -> ServerTable:
         """Return the servers that take new work."""
@@ -321,15 +295,6 @@
             self._failures.pop(record.node, None)
 
 
-def _top_up(
-    members: list[str], candidates: list[str], size: int, random: Random
-) -> None:
-    others = [node for node in candidates if node not in members]
-    wanted = min(size - len(members), len(others))
-    if wanted > 0:
-        members += random.sample(others, wanted)
-
-
 def _hash_record(record: NodeRecord) -> int:
     """Return a record's share of the digest; the dead have none."""
     if record.state is NodeState.DEAD:
--- /dev/null
+++ b/monsoontray/membership/announcements.py
@@ -0,0 +1,56 @@
+"""The backend servers that announced themselves on this VM."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from monsoontray.decisions.servers import ServerState
+from monsoontray.forwarding.messages import LocalServer
+
+LEAVING_KEPT_S = 30.0  # time that a leaving server stays on record
+
+
+class Announcements:
+    """Hold the servers of one VM and until when each announcement holds."""
+
+    __slots__ = ("_deadlines", "_lifetime_s", "_servers")
+
+    def __init__(self, lifetime_s: float) -> None:
+        self._lifetime_s = lifetime_s
+        self._servers: dict[str, LocalServer] = {}
+        self._deadlines: dict[str, float] = {}
+
+    def take(self, local: LocalServer, now: float) -> bool:
+        """Take or repeat an announcement; say whether anything changed."""
+        name = local.record.server
+        known = self._servers.get(name)
+        if known is not None and known.record.state is ServerState.LEAVING:
+            return False  # a repeat that crossed the server's leaving
+        self._deadlines[name] = now + self._lifetime_s
+        self._servers[name] = local
+        return known != local
+
+    def begin_leaving(self, server: str, now: float) -> bool:
+        """Mark a server as leaving; say whether anything changed."""
+        known = self._servers.get(server)
+        if known is None or known.record.state is ServerState.LEAVING:
+            return False
+        record = replace(known.record, state=ServerState.LEAVING)
+        self._servers[server] = LocalServer(record, known.address)
+        self._deadlines[server] = now + LEAVING_KEPT_S
+        return True
+
+    def expire(self, now: float) -> list[LocalServer]:
+        """Forget and return the servers whose deadlines have passed."""
+        due = [name for name, deadline in self._deadlines.items() if deadline <= now]
+        for name in due:
+            del self._deadlines[name]
+        return [self._servers.pop(name) for name in due]
+
+    def find_next_deadline(self) -> float | None:
+        """Return when ``expire`` is due."""
+        return min(self._deadlines.values(), default=None)
+
+    def get_servers(self) -> tuple[LocalServer, ...]:
+        """Return every server."""
+        return tuple(self._servers.values())
--- a/monsoontray/membership/service.py
+++ b/monsoontray/membership/service.py
@@ -16,6 +16,7 @@
 from monsoontray.forwarding.messages import GuardServers, LocalServer, UseServers
 from monsoontray.kernel.kernel import DeathPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
+from monsoontray.membership.announcements import Announcements
 from monsoontray.membership.encoding import Exchange
 from monsoontray.membership.messages import (
     AnnounceServer,
@@ -43,7 +44,6 @@
 PUSH_FANOUT = 3  # peers that news is pushed to at once
 PUSH_INTERVAL_S = 0.2  # least time between two pushes
 ROTATION_S = 15.0  # time after which the view is rotated
-LEAVING_KEPT_S = 30.0  # time that a leaving server stays on record
 _MS_PER_S = 1000
 
 
@@ -74,9 +74,8 @@
         self.set_version(NO_VERSION)
         self.random = Random(f"{self.place.node} {incarnation}")
         self._interval_s = settings.get_seconds("exchange_interval_ms")
-        self._lifetime_s = settings.get_seconds("announcement_lifetime_ms")
-        self._local: dict[str, LocalServer] = {}
-        self._local_deadlines: dict[str, float] = {}
+        lifetime_s = settings.get_seconds("announcement_lifetime_ms")
+        self._announcements = Announcements(lifetime_s)
         self._seeds: list[str] = list(settings.get_texts("seeds"))
         self._next_exchange = self.clock.now() + self.random.random() * 0.1
         self._next_push: float | None = None
@@ -87,13 +86,14 @@
 
     def find_next_deadline(self) -> float | None:
         """Return when the next exchange, push or expiry is due."""
-        deadlines = [self._next_exchange, *self._local_deadlines.values()]
+        deadlines = [self._next_exchange]
         deadlines += [waiting.deadline for waiting in self._waiting]
         if self._next_push is not None:
             deadlines.append(self._next_push)
-        expiry = self.fleet.find_next_deadline()
-        if expiry is not None:
-            deadlines.append(expiry)
+        for holder in (self.fleet, self._announcements):
+            expiry = holder.find_next_deadline()
+            if expiry is not None:
+                deadlines.append(expiry)
         return min(deadlines)
 
     def wake(self) -> None:
@@ -150,32 +150,19 @@
 
     def announce(self, message: AnnounceServer) -> None:
         """Take an announcement."""
-        name = message.record.server
         local = LocalServer(message.record, message.address)
-        known = self._local.get(name)
-        leaving = known is not None and known.record.state is ServerState.LEAVING
-        if leaving and message.record.state is ServerState.SERVING:
-            return  # a repeat that crossed the server's leaving
-        self._local_deadlines[name] = self.clock.now() + self._lifetime_s
-        if known == local:
-            return
-        self._local[name] = local
-        self._publish_local()
+        if self._announcements.take(local, self.clock.now()):
+            self._publish_local()
 
     def begin_leaving(self, server: str) -> None:
         """Mark a server on this VM as leaving."""
-        known = self._local.get(server)
-        if known is None or known.record.state is ServerState.LEAVING:
-            return
-        record = replace(known.record, state=ServerState.LEAVING)
-        self._local[server] = LocalServer(record, known.address)
-        self._local_deadlines[server] = self.clock.now() + LEAVING_KEPT_S
-        self._publish_local()
+        if self._announcements.begin_leaving(server, self.clock.now()):
+            self._publish_local()
 
     def leave(self) -> None:
         """Mark every server on this VM as leaving, and say so at once."""
-        for server in list(self._local):
-            self.begin_leaving(server)
+        for local in self._announcements.get_servers():
+            self.begin_leaving(local.record.server)
         self._next_push = self.clock.now()  # ahead of the leaving itself
 
     def add_seeds(self, addresses: tuple[str, ...]) -> None:
@@ -283,17 +270,17 @@
         return ""
 
     def _expire_announcements(self, now: float) -> None:
-        due = [name for name, time in self._local_deadlines.items() if time <= now]
-        for name in due:
-            del self._local_deadlines[name]
-            local = self._local.pop(name)
+        expired = self._announcements.expire(now)
+        for local in expired:
             if local.record.state is ServerState.SERVING:
-                logger.warning("server {} stopped announcing itself", name)
-        if due:
+                logger.warning(
+                    "server {} stopped announcing itself", local.record.server
+                )
+        if expired:
             self._publish_local()
 
     def _publish_local(self) -> None:
-        local = tuple(self._local.values())
+        local = self._announcements.get_servers()
         self.kernel.post("forwarding", GuardServers(local))
         servers = tuple(each.record for each in local)
         self.change_own(replace(self.fleet.own, servers=servers))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,7 +9,7 @@
 from bench.fleet import Fleet
 from bench.lists import build_customer, build_lists, build_plan, build_route
 from monsoontray.kernel.clock import ManualClock
-from tests.trio import SERVICES, SOON, TOKEN, start_trio
+from tests.fleets import SERVICES, SOON, TOKEN, start_trio
 
 
 @pytest.fixture
--- a/tests/trio.py
+++ b/tests/fleets.py
@@ -1,11 +1,12 @@
-"""A fleet of three zones that integration tests share."""
+"""Fleets that integration tests share."""
 
 from __future__ import annotations
 
 from typing import Any
 
 from bench.caller import Answer, Router, build_request
-from bench.fleet import Fleet
+from bench.fleet import Fleet, NodeHandle
+from bench.lists import build_customer, build_lists, build_plan, build_route
 
 TOKEN = "token-of-the-tests"
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -44,3 +45,32 @@
         if backend.name == server:
             return fleet.get_json(backend.address, "/_observed")
     raise LookupError(server)
+
+
+def start_lone_fleet(
+    fleet: Fleet, *flags: str, **settings: Any
+) -> tuple[NodeHandle, NodeHandle]:
+    """Start an entry node, a guard node and one server beside the latter."""
+    fleet.start_store()
+    entry = fleet.add_node("entry", "zone-a", **settings)
+    guard = fleet.add_node("guard", "zone-b", **settings)
+    for node in (entry, guard):
+        fleet.start_node(node)
+    for node in (entry, guard):
+        fleet.wait_for_node(node)
+    fleet.start_backend("one", "catalogue", guard, *flags)
+    fleet.wait_for_servers("catalogue", 1)
+    lists = build_lists(
+        [build_customer("router", "plan", TOKEN)],
+        [build_plan("plan", [build_route("/catalogue", "catalogue")])],
+        ["catalogue"],
+    )
+    proposal = {"based_on": 0, "author": "test", "lists": lists}
+    fleet.post_json(entry.operator, "/config", proposal)
+    fleet.wait_for_version(1)
+    return entry, guard
+
+
+def find_refusal(answer: Answer) -> tuple[bytes, bytes]:
+    """Return a refusal's reason and whether the call ran."""
+    return answer.find(b"monsoontray-refusal"), answer.find(b"monsoontray-ran")
--- a/tests/test_commands/test_commands.py
+++ b/tests/test_commands/test_commands.py
@@ -9,7 +9,7 @@
 import pytest
 
 from bench.lists import build_customer, build_lists, build_plan, build_route
-from tests.trio import TOKEN, start_trio
+from tests.fleets import TOKEN, start_trio
 
 
 def run(*words: str, env: dict[str, str] | None = None):
--- a/tests/test_configuration/test_versions.py
+++ b/tests/test_configuration/test_versions.py
@@ -10,7 +10,7 @@
 
 from bench.fleet import Fleet
 from bench.lists import build_customer, build_lists, build_plan, build_route
-from tests.trio import TOKEN, ZONES, call
+from tests.fleets import TOKEN, ZONES, call
 
 
 def start(fleet: Fleet, count: int, **settings) -> None:
--- a/tests/test_decisions/test_fleet.py
+++ b/tests/test_decisions/test_fleet.py
@@ -10,13 +10,12 @@
     FAILURES_TO_SUSPECT,
     SUSPICION_S,
     TOMBSTONE_S,
-    VIEW_FAR,
-    VIEW_NEAR,
     Fleet,
     NodeRecord,
     NodeState,
 )
 from monsoontray.decisions.servers import ServerRecord, ServerState
+from monsoontray.decisions.view import VIEW_FAR, VIEW_NEAR
 
 
 def build_record(node: str, sequence: int = 1, **changes) -> NodeRecord:
--- a/tests/test_forwarding/test_calls.py
+++ b/tests/test_forwarding/test_calls.py
@@ -3,27 +3,17 @@
 from __future__ import annotations
 
 import json
-import signal
-import socket
 from concurrent.futures import ThreadPoolExecutor
 
-import pytest
-
-from bench.caller import CutAnswerError, Router, build_request
-from bench.fleet import Fleet
-from bench.lists import build_customer, build_lists, build_plan, build_route
+from bench.caller import Router, build_request
 from bench.processes import read_peak_rss_mb, read_rss_mb
-from tests.trio import TOKEN, call, observe
+from tests.fleets import TOKEN, call, find_refusal, observe
 
 MB = 1_000_000
 LARGE_MB = 300
 MAX_GROWTH_MB = 30.0
 
 
-def find_refusal(answer):
-    return answer.find(b"monsoontray-refusal"), answer.find(b"monsoontray-ran")
-
-
 def test_a_call_is_served_from_every_node(trio):
     for node in trio.nodes:
         answer = call(node.entry, "/catalogue/linen")
@@ -191,116 +181,6 @@
     assert max(growth.values()) < MAX_GROWTH_MB
 
 
-def start_lone_fleet(fleet: Fleet, *flags: str, **settings):
-    """Start an entry node, a guard node and one server beside the latter."""
-    fleet.start_store()
-    entry = fleet.add_node("entry", "zone-a", **settings)
-    guard = fleet.add_node("guard", "zone-b", **settings)
-    for node in (entry, guard):
-        fleet.start_node(node)
-    for node in (entry, guard):
-        fleet.wait_for_node(node)
-    fleet.start_backend("one", "catalogue", guard, *flags)
-    fleet.wait_for_servers("catalogue", 1)
-    lists = build_lists(
-        [build_customer("router", "plan", TOKEN)],
-        [build_plan("plan", [build_route("/catalogue", "catalogue")])],
-        ["catalogue"],
-    )
-    proposal = {"based_on": 0, "author": "test", "lists": lists}
-    fleet.post_json(entry.operator, "/config", proposal)
-    fleet.wait_for_version(1)
-    return entry, guard
-
-
-def test_a_killed_guard_costs_idempotent_calls_nothing(fleet):
-    entry, guard = start_lone_fleet(fleet)
-    fleet.start_backend("two", "catalogue", entry)
-    fleet.wait_for_servers("catalogue", 2)
-    router = Router(entry.entry)
-    assert router.call(build_request("/catalogue", TOKEN)).status == 200
-    fleet.kill_node(guard)
-    for _ in range(50):
-        assert router.call(build_request("/catalogue", TOKEN)).status == 200
-    router.close()
-
-
-def test_a_crashed_back_end_leaves_a_posted_call_unknown(fleet):
-    entry, _guard = start_lone_fleet(fleet, "--service_ms=5000")
-    backend = fleet.backends[0]
-    router = Router(entry.entry)
-    router._sock.sendall(build_request("/catalogue", TOKEN, "POST", b"order"))
-    fleet.wait_for(lambda: observe(fleet, "one")["calls"], "the call")
-    backend.process.kill()
-    answer = router.read_answer()
-    assert answer.status == 502
-    assert find_refusal(answer) == (b"connection-lost", b"unknown")
-    router.close()
-
-
-def test_an_answer_that_is_cut_is_visibly_cut(fleet):
-    entry, guard = start_lone_fleet(fleet)
-    for node in (entry, guard):
-        for framing in ("length", "chunked"):
-            router = Router(node.entry)
-            path = f"/catalogue?size={50 * MB}&framing={framing}"
-            router._sock.sendall(build_request(path, TOKEN))
-            assert router._sock.recv(1000).startswith(b"HTTP/1.1 200")
-            fleet.backends[-1].process.kill()
-            received = b""
-            with pytest.raises((CutAnswerError, ConnectionError)):  # noqa: PT012
-                while True:
-                    part = router._sock.recv(MB)
-                    if not part:
-                        raise CutAnswerError
-                    received = received[-10:] + part
-            assert not received.endswith(b"0\r\n\r\n")
-            router.close()
-            name = f"again-{node.name}-{framing}"
-            fleet.start_backend(name, "catalogue", guard)
-            fleet.wait_for(
-                lambda node=node: call(node.entry, "/catalogue").status == 200,
-                "service again",
-            )
-
-
-@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
-def test_a_planned_stop_cuts_no_call(fleet, number):
-    entry, guard = start_lone_fleet(fleet, "--service_ms=400")
-    router = Router(entry.entry)
-    idle = Router(entry.entry)
-    router._sock.sendall(build_request("/catalogue", TOKEN, "POST"))
-    fleet.wait_for(lambda: observe(fleet, "one")["calls"], "the call")
-    for node in (entry, guard):
-        node.process.send_signal(number)
-    answer = router.read_answer()
-    assert answer.status == 200
-    assert answer.find(b"connection") == b"close"
-    assert idle._sock.recv(10) == b""
-    assert [node.process.wait(15) for node in (entry, guard)] == [0, 0]
-    with pytest.raises(OSError, match="refused"):
-        Router(entry.entry)
-
-
-def test_slow_callers_are_ended(fleet):
-    entry, _guard = start_lone_fleet(fleet, head_timeout_ms=150, idle_timeout_ms=300)
-    router = Router(entry.entry)
-    router._sock.sendall(b"GET /catalogue HTTP/1.1\r\nHos")
-    answer = router.read_answer()
-    assert find_refusal(answer) == (b"head-timeout", b"not-run")
-    router.close()
-    router = Router(entry.entry)
-    head = build_request("/catalogue", TOKEN, "POST", Content_Length="100")
-    router._sock.sendall(head + b"begun")
-    answer = router.read_answer()
-    assert answer.status == 408
-    assert find_refusal(answer)[0] == b"body-timeout"
-    router.close()
-    silent = Router(entry.entry)
-    assert silent._sock.recv(10) == b""
-    silent.close()
-
-
 def test_a_caller_may_wait_to_be_asked_for_the_body(trio):
     router = Router(trio.nodes[2].entry)
     head = build_request(
@@ -314,63 +194,3 @@
     )
     assert router.call(refused).status == 403
     router.close()
-
-
-def test_callers_beyond_the_limit_are_refused(fleet):
-    entry, _guard = start_lone_fleet(fleet, max_caller_connections=3)
-    kept = [Router(entry.entry) for _ in range(3)]
-    for router in kept:
-        assert router.call(build_request("/catalogue", TOKEN)).status == 200
-    extra = Router(entry.entry)
-    assert find_refusal(extra.read_answer()) == (b"too-many-connections", b"not-run")
-    with pytest.raises((CutAnswerError, OSError)):
-        extra.call(build_request("/catalogue", TOKEN))
-    for router in (*kept, extra):
-        router.close()
-
-
-def test_an_answer_without_a_length_is_refused(fleet):
-    entry, guard = start_lone_fleet(fleet)
-    listener = socket.create_server(("127.0.0.1", 0))
-    port = listener.getsockname()[1]
-    fleet.post_json(
-        guard.operator,
-        "/announce",
-        {
-            "server": "raw",
-            "service": "catalogue",
-            "version": "1",
-            "address": f"127.0.0.1:{port}",
-            "slots": 1,
-            "connections": 1,
-        },
-    )
-    fleet.wait_for_servers("catalogue", 2)
-    fleet.backends[0].process.kill()
-    fleet.backends[0].process.wait()
-    router = Router(entry.entry)
-    router._sock.sendall(build_request("/catalogue", TOKEN, "POST"))
-    listener.settimeout(10)
-    connection, _address = listener.accept()
-    connection.recv(10_000)
-    connection.sendall(b"HTTP/1.1 200 OK\r\n\r\nperhaps whole")
-    connection.close()
-    answer = router.read_answer()
-    assert find_refusal(answer) == (b"bad-answer", b"unknown")
-    router.close()
-    listener.close()
-
-
-def test_idle_connections_between_nodes_are_closed_by_the_side_that_sends(fleet):
-    entry, guard = start_lone_fleet(fleet, idle_timeout_ms=600)
-    router = Router(entry.entry)
-    for _ in range(2):
-        assert router.call(build_request("/catalogue", TOKEN)).status == 200
-    router.close()
-
-    def count_callers(node) -> int:
-        return fleet.get_json(node.operator, "/status")["callers"]
-
-    fleet.wait_for(lambda: count_callers(guard) == 1, "one connection between nodes")
-    fleet.wait_for(lambda: count_callers(guard) == 0, "its end")
-    assert call(entry.entry, "/catalogue", "POST").status == 200
--- a/tests/test_forwarding/test_malformed.py
+++ b/tests/test_forwarding/test_malformed.py
@@ -12,8 +12,7 @@
 from hypothesis import strategies as st
 
 from bench.fleet import Fleet
-from tests.test_forwarding.test_calls import start_lone_fleet
-from tests.trio import SOON, TOKEN
+from tests.fleets import SOON, TOKEN, start_lone_fleet
 
 EXAMPLES = 1_000
 HEAD = (
