--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -18,6 +18,7 @@
 from aiohttp import web
 
 PART_BYTES = 65_536
+LOOK_UP_INTERVAL_S = 0.1  # connections that open meanwhile are looked up together
 ANY = "*"
 _SOCKET_TABLES = (
     ("/proc/net/tcp", "0100007F"),
@@ -81,6 +82,8 @@
         self.labels: dict[int, str] = {}
         self.rules: dict[tuple[str, str], str] = {}
         self.passages: set[Passage] = set()
+        self.unruled: list[Passage] = []  # connections that wait for the rules
+        self.look_up: asyncio.Task[None] | None = None
 
     def build_application(self) -> web.Application:
         """Return the application that controls the proxy."""
@@ -150,7 +153,7 @@
         link.connections += 1
         self.passages.add(passage)
         try:
-            self.apply_rules([passage])
+            self.rule_soon(passage)
             await passage.open_gate.wait()
             host, _, target_port = link.target.rpartition(":")
             far_reader, far_writer = await asyncio.open_connection(
@@ -188,6 +191,22 @@
         with contextlib.suppress(OSError):
             writer.write_eof()
 
+    def rule_soon(self, passage: Passage) -> None:
+        """Pass a connection, or hold it until its process was looked up."""
+        if not self.rules:
+            passage.open_gate.set()
+            return
+        self.unruled.append(passage)
+        if self.look_up is None:
+            self.look_up = asyncio.create_task(self.rule_unruled())
+
+    async def rule_unruled(self) -> None:
+        """Apply the rules to the connections that opened lately."""
+        await asyncio.sleep(LOOK_UP_INTERVAL_S)
+        self.look_up = None
+        unruled, self.unruled = self.unruled, []
+        self.apply_rules(unruled)
+
     def apply_rules(self, passages: list[Passage]) -> None:
         """Pass, cut or silence connections as the rules say now."""
         if self.rules:
