Call responses by the field's word; test the experiment tool's arguments

Cause: the code said answer where HTTP says response, and the metrics and the reason bad-answer showed it to operators; bad arguments and schedules of the experiment tool had no test. Change: response in forwarding, the store's adapter, metrics and reasons (bad-response, monsoontray_responses_total); tests for arguments and schedules; the poison request goes to a path that the plans allow.

--- a/bench/experiments/versions.py
+++ b/bench/experiments/versions.py
@@ -15,7 +15,7 @@
 
 import urllib3
 
-from bench.caller import CutAnswerError, Router, build_request
+from bench.caller import CutResponseError, Router, build_request
 from bench.fleet import Fleet, FleetError, NodeHandle
 from bench.lists import build_customer, build_lists, build_plan, build_route
 from bench.progress import show_progress
@@ -55,6 +55,8 @@
 
 def start_fleet(fleet: Fleet, count: int) -> None:
     """Start nodes in three zones, reached through the proxy, with servers."""
+    fleet.probe_path = "/catalogue/poison"
+    fleet.probe_token = TOKENS[0]
     fleet.start_store()
     fleet.start_proxy()
     nodes = [fleet.add_node(f"node-{i}", ZONES[i % len(ZONES)]) for i in range(count)]
@@ -92,7 +94,7 @@
         verdict = fleet.post_json(operator, "/config", proposal)
     except (OSError, urllib3.exceptions.HTTPError):
         return 0.0
-    # An answer that was lost shows as being overtaken by oneself.
+    # A response that was lost shows as being overtaken by oneself.
     taken = verdict.get("outcome") in ("accepted", "overtaken")
     if not taken or verdict.get("number") != number:
         return 0.0
@@ -127,7 +129,7 @@
             probe_once(router, sight, target)
         except NoVersionError:
             sight.unready_calls += 1
-        except (OSError, CutAnswerError, ValueError):
+        except (OSError, CutResponseError, ValueError):
             sight.lost_calls += 1
             router = None
         time.sleep(pause_s)
@@ -148,8 +150,8 @@
     if number > 1 and is_allowed(router, f"/probe/{number - 1}", TOKENS[1]):
         sight.partial_applies += 1
     if highest < number:
-        answer = router.call(build_request(f"/fresh/{number}", TOKENS[0]))
-        dangling = answer.find(b"monsoontray-refusal") == b"no-server"
+        response = router.call(build_request(f"/fresh/{number}", TOKENS[0]))
+        dangling = response.find(b"monsoontray-refusal") == b"no-server"
         sight.dangling_routes += dangling
 
 
@@ -157,7 +159,7 @@
     """Say whether one of some versions is in force at a node.
 
     They are asked for upwards, so that a node that moves on meanwhile is met; a
-    version may come into force before its proposer has the answer.
+    version may come into force before its proposer has the response.
     """
     numbers = range(lowest, highest + 1)
     return any(is_allowed(router, f"/probe/{n}", TOKENS[1]) for n in numbers)
@@ -166,8 +168,8 @@
 def is_allowed(router: Router, path: str, token: str) -> bool:
     """Say whether a node's version in force allows a call."""
     request = build_request(path, token, Monsoontray_Timeout_Ms=PROBE_TIMEOUT_MS)
-    answer = router.call(request)
-    refusal = answer.find(b"monsoontray-refusal")
+    response = router.call(request)
+    refusal = response.find(b"monsoontray-refusal")
     if refusal == b"no-version":
         raise NoVersionError
     return refusal not in (b"not-in-plan", b"unknown-customer")
--- a/bench/load.py
+++ b/bench/load.py
@@ -9,7 +9,7 @@
 
 
 def run(address: str, duration_s: float, request: bytes) -> int:
-    """Return the calls that were answered with 200 in the time given."""
+    """Return the calls that were responded with 200 in the time given."""
     router = Router(address)
     calls = 0
     deadline = time.monotonic() + duration_s
--- a/monsoontray/commands/client.py
+++ b/monsoontray/commands/client.py
@@ -21,7 +21,7 @@
     Status,
     Verdict,
     VersionSummary,
-    WaitAnswer,
+    WaitResponse,
 )
 from monsoontray.plans.model import Version
 
@@ -56,18 +56,18 @@
 
     def read_history(self) -> list[VersionSummary]:
         """Return the latest versions."""
-        answer = self._send("GET", "/history")
-        if answer.status != 200:
-            self._raise_verdict(answer)
-        summaries: list[VersionSummary] = self._decode(answer, list[VersionSummary])
+        response = self._send("GET", "/history")
+        if response.status != 200:
+            self._raise_verdict(response)
+        summaries: list[VersionSummary] = self._decode(response, list[VersionSummary])
         return summaries
 
-    def wait(self, version: int, wait_s: float) -> WaitAnswer:
+    def wait(self, version: int, wait_s: float) -> WaitResponse:
         """Return when a version is everywhere, or after some time."""
         timeout_ms = int(min(wait_s, LONGEST_WAIT_S) * MS_PER_S)
         path = f"/wait?version={version}&timeout_ms={timeout_ms}"
-        answer: WaitAnswer = self._decode(self._send("GET", path), WaitAnswer)
-        return answer
+        response: WaitResponse = self._decode(self._send("GET", path), WaitResponse)
+        return response
 
     def validate(self, lists: bytes) -> Verdict:
         """Have lists checked."""
@@ -92,43 +92,43 @@
             message = f"can't reach node {self._base}: {describe(error)}"
             raise CommandError(message, EXIT_UNAVAILABLE) from error
 
-    def _read_verdict(self, answer: urllib3.BaseHTTPResponse) -> Verdict:
-        if answer.status == 200:
-            verdict: Verdict = self._decode(answer, Verdict)
+    def _read_verdict(self, response: urllib3.BaseHTTPResponse) -> Verdict:
+        if response.status == 200:
+            verdict: Verdict = self._decode(response, Verdict)
             return verdict
-        return self._raise_verdict(answer)
+        return self._raise_verdict(response)
 
-    def _raise_verdict(self, answer: urllib3.BaseHTTPResponse) -> Verdict:
+    def _raise_verdict(self, response: urllib3.BaseHTTPResponse) -> Verdict:
         codes = {
             409: EXIT_OVERTAKEN,
             422: EXIT_REFUSED,
             503: EXIT_UNAVAILABLE,
             504: EXIT_UNKNOWN,
         }
-        if answer.status not in codes:
-            self._raise_fault(answer)
+        if response.status not in codes:
+            self._raise_fault(response)
         try:
-            verdict = msgspec.json.decode(answer.data, type=Verdict)
+            verdict = msgspec.json.decode(response.data, type=Verdict)
         except msgspec.DecodeError:
-            self._raise_fault(answer)
+            self._raise_fault(response)
         detail = verdict.detail or "; ".join(verdict.faults)
-        raise CommandError(f"{verdict.outcome}: {detail}", codes[answer.status])
+        raise CommandError(f"{verdict.outcome}: {detail}", codes[response.status])
 
-    def _decode(self, answer: urllib3.BaseHTTPResponse, shape: Any) -> Any:
-        if answer.status != 200:
-            self._raise_fault(answer)
+    def _decode(self, response: urllib3.BaseHTTPResponse, shape: Any) -> Any:
+        if response.status != 200:
+            self._raise_fault(response)
         try:
-            return msgspec.json.decode(answer.data, type=shape)
+            return msgspec.json.decode(response.data, type=shape)
         except msgspec.DecodeError as error:
-            message = f"node {self._base} gave an answer that can't be read: {error}"
+            message = f"node {self._base} gave a response that can't be read: {error}"
             raise CommandError(message, EXIT_UNAVAILABLE) from error
 
-    def _raise_fault(self, answer: urllib3.BaseHTTPResponse) -> None:
+    def _raise_fault(self, response: urllib3.BaseHTTPResponse) -> None:
         try:
-            text = msgspec.json.decode(answer.data, type=Fault).error
+            text = msgspec.json.decode(response.data, type=Fault).error
         except msgspec.DecodeError:
-            text = f"status {answer.status}"
-        code = EXIT_REFUSED if answer.status < 500 else EXIT_UNAVAILABLE
+            text = f"status {response.status}"
+        code = EXIT_REFUSED if response.status < 500 else EXIT_UNAVAILABLE
         raise CommandError(f"node {self._base}: {text}", code)
 
 
--- a/monsoontray/decisions/outcomes.py
+++ b/monsoontray/decisions/outcomes.py
@@ -33,7 +33,7 @@
     NODE_STOPPING = "node-stopping"
     DEADLINE_PASSED = "deadline-passed"
     CONNECTION_LOST = "connection-lost"
-    BAD_ANSWER = "bad-answer"
+    BAD_RESPONSE = "bad-response"
     TOO_MANY_CONNECTIONS = "too-many-connections"
 
 
--- a/monsoontray/decisions/retries.py
+++ b/monsoontray/decisions/retries.py
@@ -18,7 +18,7 @@
     number: int  # 1 for the first attempt
     deadline: float
     sent: bool  # a byte may have reached a back end
-    answer_started: bool  # the caller has part of the answer
+    response_started: bool  # the caller has part of the response
     body_kept: bool  # the whole body sent so far can be sent again
 
 
@@ -31,7 +31,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Abandon:
-    """Say that the caller's connection must be cut: its answer is cut short."""
+    """Say that the caller's connection must be cut: its response is cut short."""
 
     reason: Reason
 
@@ -40,7 +40,7 @@
     attempt: Attempt, reason: Reason, now: float, max_attempts: int
 ) -> Retry | Refusal | Abandon:
     """Decide what follows a failed attempt."""
-    if attempt.answer_started:
+    if attempt.response_started:
         return Abandon(reason)
     repeatable = not attempt.sent or attempt.method in _IDEMPOTENT_METHODS
     time_left = attempt.deadline - now >= MIN_RETRY_S
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -1,4 +1,4 @@
-"""One call from its request to its answer."""
+"""One call from its request to its response."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 from monsoontray.decisions.retries import Abandon, Attempt, Retry, decide_after_failure
 from monsoontray.forwarding.heads import (
     LAST_CHUNK,
-    AnswerHead,
     Framing,
     RequestHead,
+    ResponseHead,
     encode_chunk,
     encode_line,
     encode_request,
@@ -49,7 +49,6 @@
         "_refusal",
         "_sent",
         "_timer",
-        "answer_started",
         "attempt",
         "call_id",
         "caller",
@@ -59,6 +58,7 @@
         "head",
         "last_reason",
         "request_ended",
+        "response_started",
         "route",
         "server",
         "tried",
@@ -86,7 +86,7 @@
         self.guard: GuardState | None = None  # where this call holds a slot
         self.upstream: UpstreamConnection | None = None
         self.request_ended = False
-        self.answer_started = False
+        self.response_started = False
         self.last_reason = Reason.NO_SERVER
         self._id_line = encode_line(CALL_ID_HEADER, call_id.encode("latin-1"))
         self._refusal: Refusal | None = None  # stated by the guard, still arriving
@@ -167,46 +167,46 @@
             self.caller.resume_reading()
 
     def on_caller_sent(self, left: int) -> None:
-        """Read on once the caller has taken enough of the answer."""
+        """Read on once the caller has taken enough of the response."""
         if (
             self.upstream is not None
             and left <= self.forwarder.limits.stream_bytes // 2
         ):
             self.upstream.resume_reading()
 
-    def on_answer_head(self, head: AnswerHead) -> None:
-        """Pass on the head of an answer, or act on a guard's refusal."""
+    def on_response_head(self, head: ResponseHead) -> None:
+        """Pass on the head of a response, or act on a guard's refusal."""
         assert self._hop is not None
         if self._hop.is_guard:
             self._refusal = read_refusal(head)
             if self._refusal is not None:
                 return
-        if not is_framed(head) or not self._is_own_answer(head):
+        if not is_framed(head) or not self._is_own_response(head):
             self._drop_upstream()
-            self.fail_attempt(Reason.BAD_ANSWER)
+            self.fail_attempt(Reason.BAD_RESPONSE)
             return
-        self.answer_started = True
+        self.response_started = True
         head.lines.append(self._id_line)
-        self.caller.begin_answer(head, head.lines)
+        self.caller.begin_response(head, head.lines)
 
-    def on_answer_body(self, part: bytes) -> None:
-        """Pass on a part of the answer."""
+    def on_response_body(self, part: bytes) -> None:
+        """Pass on a part of the response."""
         if self._refusal is not None:
             return
-        self.caller.write_answer_body(part)
+        self.caller.write_response_body(part)
         if self.caller.out_bytes > self.forwarder.limits.stream_bytes:
             assert self.upstream is not None
             self.upstream.pause_reading()
 
-    def on_answer_end(self) -> None:
-        """Complete the answer."""
+    def on_response_end(self) -> None:
+        """Complete the response."""
         self.upstream = None
         if self._refusal is not None:
             self._follow_refusal(self._refusal)
             return
         self._end()
-        self.forwarder.count_answer()
-        self.caller.end_answer()
+        self.forwarder.count_response()
+        self.caller.end_response()
 
     def on_upstream_lost(self, reason: Reason) -> None:
         """Act on the loss of the connection that carries the call."""
@@ -252,8 +252,8 @@
             self.guard = None
             self.forwarder.release_slot(guard)
 
-    def _is_own_answer(self, head: AnswerHead) -> bool:
-        """Say whether an answer that names its call names this one."""
+    def _is_own_response(self, head: ResponseHead) -> bool:
+        """Say whether a response that names its call names this one."""
         call_id = head.own.get(CALL_ID_HEADER)
         return call_id is None or call_id.decode("latin-1") == self.call_id
 
@@ -269,7 +269,7 @@
             self.attempt,
             self.deadline,
             may_have_run,
-            self.answer_started,
+            self.response_started,
             self._body_kept,
         )
         self.tried.append(self.server)
@@ -310,7 +310,7 @@
             upstream.close()
 
     def _pass_deadline(self) -> None:
-        if self.answer_started:
+        if self.response_started:
             self._drop_upstream()
             self._end()
             self.forwarder.count_cut(Abandon(Reason.DEADLINE_PASSED))
--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -14,12 +14,12 @@
     CLOSE_LINE,
     CONTINUE,
     LAST_CHUNK,
-    AnswerHead,
     EndOfMessage,
     Framing,
     RequestHead,
-    encode_answer,
+    ResponseHead,
     encode_chunk,
+    encode_response,
 )
 from monsoontray.forwarding.parsing import Malformed, RequestEvent, RequestParser
 from monsoontray.forwarding.refusals import encode_refusal
@@ -30,21 +30,21 @@
     from monsoontray.kernel.timers import Timer
 
 SHORT_BODY_BYTES = 65_536  # read to its end after a refusal, to keep the connection
-LINGER_S = 1.0  # time to read on after a last answer, so that it arrives
+LINGER_S = 1.0  # time to read on after a last response, so that it arrives
 
 
 class CallerConnection(Connection):
-    """Own one caller's socket: requests in, answers out, one call at a time."""
+    """Own one caller's socket: requests in, responses out, one call at a time."""
 
     __slots__ = (
-        "_answer_chunked",
-        "_answer_closes",
         "_idle_deadline",
         "_idle_timer",
         "_lingering",
         "_parser",
         "_pending",
         "_request_open",
+        "_response_chunked",
+        "_response_closes",
         "_rest_is_short",
         "call",
         "side",
@@ -58,8 +58,8 @@
         self._pending: deque[RequestEvent] = deque()
         self._request_open = False
         self._rest_is_short = True
-        self._answer_chunked = False
-        self._answer_closes = False
+        self._response_chunked = False
+        self._response_closes = False
         self._lingering = False
         self._idle_deadline = forwarder.now + forwarder.limits.idle_s
         self._idle_timer: Timer | None = None
@@ -95,7 +95,7 @@
             call.cancel()
 
     def on_sent(self) -> None:
-        """Let the answer flow again once the caller has taken enough."""
+        """Let the response flow again once the caller has taken enough."""
         if self._lingering:
             self._end_writing()
             return
@@ -117,7 +117,7 @@
         self._request_open = True
         chunked = head.framing is Framing.CHUNKED
         self._rest_is_short = not chunked and head.length <= SHORT_BODY_BYTES
-        self._answer_closes = not head.keep_alive
+        self._response_closes = not head.keep_alive
         self.forwarder.start_call(self, head)
 
     def accept_body(self, part: bytes) -> None:
@@ -136,58 +136,58 @@
         call = self.call
         self.call = None
         if call is not None:
-            answer_begun = call.answer_started
+            response_begun = call.response_started
             call.cancel()
-            if answer_begun:
+            if response_begun:
                 self.close()
                 return
         refusal = refuse_unrun(malformed.reason)
         if call is not None:
             refusal = call.qualify(malformed.reason)
         self.forwarder.log_refusal(refusal, "", "", malformed.detail)
-        self._answer_closes = True
+        self._response_closes = True
         self.refuse(refusal)
 
     def ask_to_continue(self) -> None:
         """Tell a caller that waits for it to send the body."""
         self.write(CONTINUE)
 
-    def begin_answer(self, head: AnswerHead, lines: list[bytes]) -> None:
-        """Send the head of an answer."""
+    def begin_response(self, head: ResponseHead, lines: list[bytes]) -> None:
+        """Send the head of a response."""
         if self.forwarder.stopping or self._request_open:
-            self._answer_closes = True
-        if self._answer_closes:
+            self._response_closes = True
+        if self._response_closes:
             lines.append(CLOSE_LINE)
-        self._answer_chunked = head.framing is Framing.CHUNKED
+        self._response_chunked = head.framing is Framing.CHUNKED
         framing = head.framing
-        self.write(encode_answer(head.status, lines, framing, head.length))
+        self.write(encode_response(head.status, lines, framing, head.length))
 
-    def write_answer_body(self, part: bytes) -> None:
-        """Send a part of the answer's body."""
-        self.write(encode_chunk(part) if self._answer_chunked else part)
+    def write_response_body(self, part: bytes) -> None:
+        """Send a part of the response's body."""
+        self.write(encode_chunk(part) if self._response_chunked else part)
 
-    def end_answer(self) -> None:
-        """Finish the answer and go on to the next request."""
-        if self._answer_chunked:
+    def end_response(self) -> None:
+        """Finish the response and go on to the next request."""
+        if self._response_chunked:
             self.write(LAST_CHUNK)
         self._finish_call()
 
     def refuse(self, refusal: Refusal, call_id: str = "") -> None:
-        """Send a refusal as the answer."""
+        """Send a refusal as the response."""
         self.forwarder.count_refusal(refusal)
         rest_is_long = self._request_open and not self._rest_is_short
         if rest_is_long or self.forwarder.stopping:
-            self._answer_closes = True
-        self.write(encode_refusal(refusal, call_id, self._answer_closes))
+            self._response_closes = True
+        self.write(encode_refusal(refusal, call_id, self._response_closes))
         self._finish_call()
 
     def refuse_connection(self, refusal: Refusal) -> None:
         """Send a refusal before any request and end the connection."""
-        self._answer_closes = True
+        self._response_closes = True
         self.refuse(refusal)
 
     def cut(self) -> None:
-        """End an answer visibly incomplete."""
+        """End a response visibly incomplete."""
         self.call = None
         self.close()
 
@@ -198,7 +198,7 @@
 
     def _finish_call(self) -> None:
         self.call = None
-        if self._answer_closes:
+        if self._response_closes:
             self._linger()
             return
         if self._pending:
@@ -213,7 +213,7 @@
             _HANDLERS[event.__class__](event, self)
 
     def _linger(self) -> None:
-        """Read and drop what still arrives, so that the answer is not lost."""
+        """Read and drop what still arrives, so that the response is not lost."""
         self._lingering = True
         self._pending.clear()
         self._idle_deadline = self.forwarder.now + LINGER_S
@@ -242,8 +242,8 @@
 
     def _check_idle(self) -> None:
         now = self.forwarder.now
-        waits_for_answer = self.call is not None and not self._request_open
-        if waits_for_answer and not self.out_bytes:
+        waits_for_response = self.call is not None and not self._request_open
+        if waits_for_response and not self.out_bytes:
             self._idle_deadline = now + self.forwarder.limits.idle_s
         if self._idle_deadline > now:
             self._arm_idle_timer()
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -198,12 +198,12 @@
         self.metrics.count_retry(retry.reason.value)
 
     def count_cut(self, cut: Abandon) -> None:
-        """Count an answer that was cut short."""
+        """Count a response that was cut short."""
         self.metrics.count_cut(cut.reason.value)
 
-    def count_answer(self) -> None:
-        """Count a whole answer."""
-        self.metrics.answers += 1
+    def count_response(self) -> None:
+        """Count a whole response."""
+        self.metrics.responses += 1
 
     def count_cancelled(self) -> None:
         """Count a call whose caller has gone."""
--- a/monsoontray/forwarding/framing.py
+++ b/monsoontray/forwarding/framing.py
@@ -97,10 +97,10 @@
     return Framing.EMPTY, 0
 
 
-def find_answer_framing(
+def find_response_framing(
     collected: HeaderCollector, status: int, method: str
 ) -> tuple[Framing, int]:
-    """Return the framing of an answer and its length in bytes."""
+    """Return the framing of a response and its length in bytes."""
     codings = _find_all(collected.hop, b"transfer-encoding")
     lengths = _find_all(collected.hop, b"content-length")
     if codings:
--- a/monsoontray/forwarding/heads.py
+++ b/monsoontray/forwarding/heads.py
@@ -34,8 +34,8 @@
 
 
 @dataclass(slots=True)
-class AnswerHead:
-    """Hold the head of an answer."""
+class ResponseHead:
+    """Hold the head of a response."""
 
     status: int
     lines: list[bytes]  # end-to-end headers, each as a line
@@ -80,10 +80,10 @@
     return b"".join((start, *lines, _encode_end(framing, length)))
 
 
-def encode_answer(
+def encode_response(
     status: int, lines: list[bytes], framing: Framing, length: int
 ) -> bytes:
-    """Return the bytes of an answer's head."""
+    """Return the bytes of a response's head."""
     start = _STATUS_LINES.get(status) or f"HTTP/1.1 {status} Other\r\n".encode()
     return b"".join((start, *lines, _encode_end(framing, length)))
 
--- a/monsoontray/forwarding/parsing.py
+++ b/monsoontray/forwarding/parsing.py
@@ -10,16 +10,16 @@
 from monsoontray.forwarding.errors import MalformedMessageError
 from monsoontray.forwarding.framing import (
     HeaderCollector,
-    find_answer_framing,
     find_expectation,
     find_request_framing,
+    find_response_framing,
 )
 from monsoontray.forwarding.heads import (
     END_OF_MESSAGE,
-    AnswerHead,
     EndOfMessage,
     Framing,
     RequestHead,
+    ResponseHead,
 )
 
 _AUTHORIZATION_START = b"authorization: "
@@ -43,7 +43,7 @@
 
 
 RequestEvent = RequestHead | bytes | EndOfMessage | Malformed
-AnswerEvent = AnswerHead | bytes | EndOfMessage | Malformed
+ResponseEvent = ResponseHead | bytes | EndOfMessage | Malformed
 
 
 class RequestParser(HeaderCollector):
@@ -131,8 +131,8 @@
         self._events.append(END_OF_MESSAGE)
 
 
-class AnswerParser(HeaderCollector):
-    """Parse the answers of one connection; told each request's method."""
+class ResponseParser(HeaderCollector):
+    """Parse the responses of one connection; told each request's method."""
 
     __slots__ = (
         "_events",
@@ -148,7 +148,7 @@
     def __init__(self, limits: HeadLimits) -> None:
         super().__init__()
         self._limits = limits
-        self._events: list[AnswerEvent] = []
+        self._events: list[ResponseEvent] = []
         self._method = ""
         self._informational = False
         self._skip_body = False
@@ -156,28 +156,28 @@
         self._fed = 0  # bytes being read now
         self._unread = 0  # bytes read before, since the last event
 
-    def expect_answer(self, method: str) -> None:
-        """Prepare for the answer to a request."""
+    def expect_response(self, method: str) -> None:
+        """Prepare for the response to a request."""
         self._method = method
         if self._skip_body:
             self._skip_body = False
             self._parser = httptools.HttpResponseParser(self)
 
-    def feed(self, data: bytes) -> list[AnswerEvent]:
+    def feed(self, data: bytes) -> list[ResponseEvent]:
         """Return the events that the bytes complete."""
-        events: list[AnswerEvent] = []
+        events: list[ResponseEvent] = []
         self._events = events
         self._fed = len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            events.append(Malformed(Reason.BAD_ANSWER, "the answer is an upgrade"))
+            events.append(Malformed(Reason.BAD_RESPONSE, "the response is an upgrade"))
         except httptools.HttpParserError as error:
             fault = _describe_fault(error)
-            events.append(Malformed(Reason.BAD_ANSWER, fault.detail))
+            events.append(Malformed(Reason.BAD_RESPONSE, fault.detail))
         self._unread = 0 if events else self._unread + len(data)
         if self._unread > self._limits.head_bytes:
-            events.append(Malformed(Reason.BAD_ANSWER, "the head is too large"))
+            events.append(Malformed(Reason.BAD_RESPONSE, "the head is too large"))
         return events
 
     def on_message_begin(self) -> None:
@@ -191,10 +191,10 @@
         if self._informational:
             return
         _check_limits(self, self._limits, self._unread + self._fed)
-        framing, length = find_answer_framing(self, status, self._method)
+        framing, length = find_response_framing(self, status, self._method)
         self.drop_named_by_connection()
         keep_alive = self._parser.should_keep_alive()
-        head = AnswerHead(status, self.lines, self.own, framing, length, keep_alive)
+        head = ResponseHead(status, self.lines, self.own, framing, length, keep_alive)
         self.begin_headers()  # trailers are dropped
         self._events.append(head)
         if self._method == "HEAD":
@@ -204,7 +204,9 @@
     def on_body(self, part: bytes) -> None:
         """Emit a body part."""
         if self._skip_body:
-            raise MalformedMessageError(Reason.BAD_ANSWER, "a HEAD answer has a body")
+            raise MalformedMessageError(
+                Reason.BAD_RESPONSE, "a HEAD response has a body"
+            )
         self._events.append(part)
 
     def on_message_complete(self) -> None:
@@ -213,8 +215,8 @@
             self._events.append(END_OF_MESSAGE)
 
 
-def is_framed(head: AnswerHead) -> bool:
-    """Say whether the end of an answer can be told from a cut."""
+def is_framed(head: ResponseHead) -> bool:
+    """Say whether the end of a response can be told from a cut."""
     return head.framing is not Framing.UNTIL_CLOSE
 
 
--- a/monsoontray/forwarding/refusals.py
+++ b/monsoontray/forwarding/refusals.py
@@ -1,4 +1,4 @@
-"""Write refusals as HTTP answers, and read those of other nodes."""
+"""Write refusals as HTTP responses, and read those of other nodes."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal
 from monsoontray.forwarding.heads import (
     CLOSE_LINE,
-    AnswerHead,
     Framing,
-    encode_answer,
+    ResponseHead,
     encode_line,
+    encode_response,
 )
 
 REFUSAL_HEADER = b"monsoontray-refusal"
@@ -30,7 +30,7 @@
     Reason.NOT_IN_PLAN: HTTPStatus.FORBIDDEN,
     Reason.DEADLINE_PASSED: HTTPStatus.GATEWAY_TIMEOUT,
     Reason.CONNECTION_LOST: HTTPStatus.BAD_GATEWAY,
-    Reason.BAD_ANSWER: HTTPStatus.BAD_GATEWAY,
+    Reason.BAD_RESPONSE: HTTPStatus.BAD_GATEWAY,
 }
 _REASONS = {reason.value.encode(): reason for reason in Reason}
 _RAN = {ran.value.encode(): ran for ran in Ran}
@@ -45,7 +45,7 @@
 
 
 def encode_refusal(refusal: Refusal, call_id: str, closes: bool) -> bytes:
-    """Return the whole answer that refuses a call."""
+    """Return the whole response that refuses a call."""
     status = _STATUSES.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
     reason = refusal.reason.value
     ran = refusal.ran.value
@@ -59,14 +59,14 @@
         lines.append(encode_line(CALL_ID_HEADER, call_id.encode("latin-1")))
     if closes:
         lines.append(CLOSE_LINE)
-    head = encode_answer(status, lines, Framing.LENGTH, len(body))
+    head = encode_response(status, lines, Framing.LENGTH, len(body))
     return head + body
 
 
-def read_refusal(head: AnswerHead) -> Refusal | None:
-    """Return the refusal that another node's answer states, if any."""
+def read_refusal(head: ResponseHead) -> Refusal | None:
+    """Return the refusal that another node's response states, if any."""
     reason = head.own.get(REFUSAL_HEADER)
     if not reason:
         return None
     ran = _RAN.get(head.own.get(RAN_HEADER, b""), Ran.UNKNOWN)
-    return Refusal(_REASONS.get(reason, Reason.BAD_ANSWER), ran)
+    return Refusal(_REASONS.get(reason, Reason.BAD_RESPONSE), ran)
--- a/monsoontray/forwarding/routes.py
+++ b/monsoontray/forwarding/routes.py
@@ -94,7 +94,7 @@
 
 @singledispatch
 def follow_slot(outcome: Any, call: Call, guard: GuardState) -> None:
-    """Act on the answer to a request for a slot."""
+    """Act on the response to a request for a slot."""
     raise TypeError(f"no such outcome: {outcome!r}")
 
 
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -8,8 +8,8 @@
 
 from monsoontray.decisions.outcomes import Reason
 from monsoontray.forwarding.connection import Connection, prepare_socket
-from monsoontray.forwarding.heads import END_OF_MESSAGE, AnswerHead, EndOfMessage
-from monsoontray.forwarding.parsing import AnswerParser, Malformed
+from monsoontray.forwarding.heads import END_OF_MESSAGE, EndOfMessage, ResponseHead
+from monsoontray.forwarding.parsing import Malformed, ResponseParser
 from monsoontray.kernel.sockets import BROKEN, READABLE, WRITABLE
 
 if TYPE_CHECKING:
@@ -45,7 +45,7 @@
         self.idle_deadline = 0.0
         self.spent = False  # no further request may be sent on it
         self._keep_alive = True
-        self._parser = AnswerParser(forwarder.limits.head)
+        self._parser = ResponseParser(forwarder.limits.head)
         deadline = forwarder.now + forwarder.limits.connect_s
         self._connect_timer: Timer | None = forwarder.timers.add(
             deadline, self._give_up_connecting
@@ -61,7 +61,7 @@
         """Carry a call."""
         self.call = call
         self._keep_alive = True
-        self._parser.expect_answer(method)
+        self._parser.expect_response(method)
 
     def on_data(self, data: bytes) -> None:
         """Act on received bytes."""
@@ -70,7 +70,7 @@
             self.spent = True
         for event in events:
             if self.call is None:
-                # Bytes that no request asked for must not pass for an answer.
+                # Bytes that no request asked for must not pass for a response.
                 self.close()
                 return
             _HANDLERS[event.__class__](event, self)
@@ -92,8 +92,8 @@
         super().close()
         self.forwarder.pool.forget(self)
 
-    def finish_answer(self) -> None:
-        """Pass on the end of an answer and keep the connection if it is clean."""
+    def finish_response(self) -> None:
+        """Pass on the end of a response and keep the connection if it is clean."""
         call = self.call
         assert call is not None
         self.call = None
@@ -102,17 +102,17 @@
             self.forwarder.pool.keep(self)
         else:
             self.close()
-        call.on_answer_end()
+        call.on_response_end()
 
-    def note_head(self, head: AnswerHead) -> None:
-        """Pass on the head of an answer."""
+    def note_head(self, head: ResponseHead) -> None:
+        """Pass on the head of a response."""
         self._keep_alive = head.keep_alive
         assert self.call is not None
-        self.call.on_answer_head(head)
+        self.call.on_response_head(head)
 
     def reject(self, malformed: Malformed) -> None:
-        """Give up a connection whose answer can't be read."""
-        self._lose(Reason.BAD_ANSWER)
+        """Give up a connection whose response can't be read."""
+        self._lose(Reason.BAD_RESPONSE)
 
     def _complete_connecting(self, events: int) -> bool:
         error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -218,24 +218,24 @@
 
 @singledispatch
 def accept_event(event: Any, upstream: UpstreamConnection) -> None:
-    """Act on an event of the answer parser."""
+    """Act on an event of the response parser."""
     raise TypeError(f"no such event: {event!r}")
 
 
-@accept_event.register(AnswerHead)
-def _(event: AnswerHead, upstream: UpstreamConnection) -> None:
+@accept_event.register(ResponseHead)
+def _(event: ResponseHead, upstream: UpstreamConnection) -> None:
     upstream.note_head(event)
 
 
 @accept_event.register(bytes)
 def _(event: bytes, upstream: UpstreamConnection) -> None:
     assert upstream.call is not None
-    upstream.call.on_answer_body(event)
+    upstream.call.on_response_body(event)
 
 
 @accept_event.register(EndOfMessage)
 def _(event: EndOfMessage, upstream: UpstreamConnection) -> None:
-    upstream.finish_answer()
+    upstream.finish_response()
 
 
 @accept_event.register(Malformed)
--- a/monsoontray/metrics/service.py
+++ b/monsoontray/metrics/service.py
@@ -16,16 +16,16 @@
 NAME = "metrics"
 
 
-class AnswersCollector(Collector):
-    """Report the answers, which are too frequent for a locked counter."""
+class ResponsesCollector(Collector):
+    """Report the responses, which are too frequent for a locked counter."""
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
 
     def collect(self) -> Iterable[Metric]:
         """Return the count."""
-        value = float(self._metrics.answers)
-        return (CounterMetricFamily("monsoontray_answers", "Whole answers", value),)
+        value = float(self._metrics.responses)
+        return (CounterMetricFamily("monsoontray_responses", "Whole responses", value),)
 
 
 class Metrics:
@@ -46,14 +46,14 @@
             registry=self.registry,
         )
         self._cuts = Counter(
-            "monsoontray_cut_answers",
-            "Answers that ended incomplete, by reason",
+            "monsoontray_cut_responses",
+            "Responses that ended incomplete, by reason",
             ("reason",),
             registry=self.registry,
         )
-        #: Whole answers; the forwarder counts them.
-        self.answers = 0
-        self.registry.register(AnswersCollector(self))
+        #: Whole responses; the forwarder counts them.
+        self.responses = 0
+        self.registry.register(ResponsesCollector(self))
         self._cancelled = Counter(
             "monsoontray_cancelled_calls",
             "Calls whose caller had gone",
@@ -89,7 +89,7 @@
         self._find_retries(reason).inc()
 
     def count_cut(self, reason: str) -> None:
-        """Count an answer cut short."""
+        """Count a response cut short."""
         self._cuts.labels(reason).inc()
 
     def count_cancelled(self) -> None:
--- a/monsoontray/operators/service.py
+++ b/monsoontray/operators/service.py
@@ -35,13 +35,13 @@
 )
 from monsoontray.operators.shapes import (
     Announcement,
-    AnnouncementAnswer,
+    AnnouncementResponse,
     Fault,
     Leaving,
     Proposal,
     Verdict,
     VersionSummary,
-    WaitAnswer,
+    WaitResponse,
 )
 from monsoontray.operators.status import build_status
 from monsoontray.plans.encoding import decode_lists
@@ -134,7 +134,7 @@
             wait_s + ASK_TIMEOUT_S,
         )
         nodes = behind.nodes
-        return _write_json(WaitAnswer(int(version), not nodes, nodes))
+        return _write_json(WaitResponse(int(version), not nodes, nodes))
 
     @cherrypy.expose
     def announce(self) -> bytes:
@@ -158,14 +158,14 @@
             state=ServerState.SERVING,
         )
         self._kernel.post("membership", AnnounceServer(record, address))
-        return _write_json(AnnouncementAnswer(self._lifetime_ms))
+        return _write_json(AnnouncementResponse(self._lifetime_ms))
 
     @cherrypy.expose
     def leave(self) -> bytes:
         """Take a backend server's word that it leaves."""
         body = _decode_body(Leaving)
         self._kernel.post("membership", ServerLeaves(body.server))
-        return _write_json(AnnouncementAnswer(self._lifetime_ms))
+        return _write_json(AnnouncementResponse(self._lifetime_ms))
 
     def _propose(self) -> bytes:
         body = _decode_body(Proposal)
--- a/monsoontray/operators/shapes.py
+++ b/monsoontray/operators/shapes.py
@@ -17,7 +17,7 @@
     resources: tuple[str, ...] = ()
 
 
-class AnnouncementAnswer(Struct, frozen=True):
+class AnnouncementResponse(Struct, frozen=True):
     """Say until when an announcement holds."""
 
     repeat_within_ms: int
@@ -106,7 +106,7 @@
     nodes: tuple[NodeStatus, ...]
 
 
-class WaitAnswer(Struct, frozen=True):
+class WaitResponse(Struct, frozen=True):
     """Say whether a version is everywhere, and at which nodes it is not."""
 
     version: int
@@ -115,6 +115,6 @@
 
 
 class Fault(Struct, frozen=True):
-    """Body of an answer to a request that can't be served."""
+    """Body of a response to a request that can't be served."""
 
     error: str
--- a/monsoontray/operators/status.py
+++ b/monsoontray/operators/status.py
@@ -1,4 +1,4 @@
-"""Build the status that operators see from the tasks' answers."""
+"""Build the status that operators see from the tasks' responses."""
 
 from __future__ import annotations
 
--- a/monsoontray/store/http.py
+++ b/monsoontray/store/http.py
@@ -39,21 +39,21 @@
 _MS_PER_S = 1000
 
 
-class KeyAnswer(msgspec.Struct, frozen=True):
-    """Shape of an answer that carries a record."""
+class KeyResponse(msgspec.Struct, frozen=True):
+    """Shape of a response that carries a record."""
 
     revision: int
     value: str  # base64
 
 
-class RevisionAnswer(msgspec.Struct, frozen=True):
-    """Shape of an answer to a write."""
+class RevisionResponse(msgspec.Struct, frozen=True):
+    """Shape of a response to a write."""
 
     revision: int
 
 
-class LeaseAnswer(msgspec.Struct, frozen=True):
-    """Shape of an answer to a grant or renewal."""
+class LeaseResponse(msgspec.Struct, frozen=True):
+    """Shape of a response to a grant or renewal."""
 
     lease: str
 
@@ -72,12 +72,12 @@
 
     def get(self, key: str) -> ReadOutcome:
         """Return the record of a key."""
-        answer = self._send("GET", _path_of_key(key), None, self._timeout_s)
-        if isinstance(answer, NotDone):
-            return answer
-        if isinstance(answer, Unknown):
-            return NotDone(answer.cause)
-        return _read_record(key, answer)
+        response = self._send("GET", _path_of_key(key), None, self._timeout_s)
+        if isinstance(response, NotDone):
+            return response
+        if isinstance(response, Unknown):
+            return NotDone(response.cause)
+        return _read_record(key, response)
 
     def compare_and_swap(
         self, key: str, revision: int, value: bytes, lease: str = ""
@@ -88,10 +88,10 @@
             "value": base64.b64encode(value).decode(),
             "lease": lease,
         }
-        answer = self._send("PUT", _path_of_key(key), body, self._timeout_s)
-        if isinstance(answer, NotDone | Unknown):
-            return answer
-        return _read_write(answer)
+        response = self._send("PUT", _path_of_key(key), body, self._timeout_s)
+        if isinstance(response, NotDone | Unknown):
+            return response
+        return _read_write(response)
 
     def grant_lease(self, lifetime_s: float) -> LeaseOutcome:
         """Obtain a lease."""
@@ -103,23 +103,23 @@
 
     def end_lease(self, lease: str) -> WriteOutcome:
         """Give a lease back."""
-        answer = self._send("DELETE", f"/leases/{lease}", None, self._timeout_s)
-        if isinstance(answer, NotDone | Unknown):
-            return answer
-        return _read_write(answer)
+        response = self._send("DELETE", f"/leases/{lease}", None, self._timeout_s)
+        if isinstance(response, NotDone | Unknown):
+            return response
+        return _read_write(response)
 
     def watch(self, key: str, revision: int, wait_s: float) -> WatchOutcome:
         """Wait until a key is at another revision than the one given."""
         wait_ms = int(wait_s * _MS_PER_S)
         path = f"/watch/{quote(key, safe='')}?revision={revision}&wait_ms={wait_ms}"
-        answer = self._send("GET", path, None, wait_s + WATCH_MARGIN_S)
-        if isinstance(answer, NotDone):
-            return answer
-        if isinstance(answer, Unknown):
-            return NotDone(answer.cause)
-        if answer.status == 204:
+        response = self._send("GET", path, None, wait_s + WATCH_MARGIN_S)
+        if isinstance(response, NotDone):
+            return response
+        if isinstance(response, Unknown):
+            return NotDone(response.cause)
+        if response.status == 204:
             return Unchanged()
-        return _read_record(key, answer)
+        return _read_record(key, response)
 
     def close(self) -> None:
         """Release the connections."""
@@ -128,14 +128,14 @@
     def _hold_lease(self, path: str, lifetime_s: float) -> LeaseOutcome:
         asked_at = self._clock.now()
         body = {"lifetime_ms": int(lifetime_s * _MS_PER_S)}
-        answer = self._send("POST", path, body, self._timeout_s)
-        if isinstance(answer, NotDone | Unknown):
-            return answer
-        if answer.status == 404:
+        response = self._send("POST", path, body, self._timeout_s)
+        if isinstance(response, NotDone | Unknown):
+            return response
+        if response.status == 404:
             return NotDone(Cause.LEASE_LAPSED)
-        decoded = _decode(answer, LeaseAnswer)
+        decoded = _decode(response, LeaseResponse)
         if decoded is None:
-            return Unknown(Cause.BAD_ANSWER)
+            return Unknown(Cause.BAD_RESPONSE)
         return Lease(decoded.lease, asked_at + lifetime_s)
 
     def _send(
@@ -147,13 +147,13 @@
             connect=min(timeout_s, self._timeout_s), read=timeout_s
         )
         try:
-            answer = self._pool.request(
+            response = self._pool.request(
                 method, url, body=content, timeout=timeout, redirect=False
             )
         except HTTPError as error:
             self._current = (self._current + 1) % len(self._endpoints)
             return _classify_failure(error)
-        return _classify_status(answer)
+        return _classify_status(response)
 
 
 def _path_of_key(key: str) -> str:
@@ -169,47 +169,47 @@
         return Unknown(Cause.TIMEOUT)
     if isinstance(error, ProtocolError):
         return Unknown(Cause.CONNECTION_LOST)
-    return Unknown(Cause.BAD_ANSWER)
+    return Unknown(Cause.BAD_RESPONSE)
 
 
 def _classify_status(
-    answer: urllib3.BaseHTTPResponse,
+    response: urllib3.BaseHTTPResponse,
 ) -> urllib3.BaseHTTPResponse | NotDone | Unknown:
-    if answer.status in (429, 503):
+    if response.status in (429, 503):
         return NotDone(Cause.OVERLOADED)
-    if answer.status >= 500:
-        return Unknown(Cause.BAD_ANSWER)
-    if answer.status in (400, 413):
+    if response.status >= 500:
+        return Unknown(Cause.BAD_RESPONSE)
+    if response.status in (400, 413):
         return NotDone(Cause.REFUSED)
-    return answer
+    return response
 
 
-def _read_record(key: str, answer: urllib3.BaseHTTPResponse) -> Record | NotDone:
-    if answer.status == 404:
+def _read_record(key: str, response: urllib3.BaseHTTPResponse) -> Record | NotDone:
+    if response.status == 404:
         return Record(key, ABSENT, b"")
-    decoded = _decode(answer, KeyAnswer)
+    decoded = _decode(response, KeyResponse)
     if decoded is None:
-        return NotDone(Cause.BAD_ANSWER)
+        return NotDone(Cause.BAD_RESPONSE)
     try:
         value = base64.b64decode(decoded.value, validate=True)
     except ValueError:
-        return NotDone(Cause.BAD_ANSWER)
+        return NotDone(Cause.BAD_RESPONSE)
     return Record(key, decoded.revision, value)
 
 
-def _read_write(answer: urllib3.BaseHTTPResponse) -> WriteOutcome:
-    if answer.status == 404:
+def _read_write(response: urllib3.BaseHTTPResponse) -> WriteOutcome:
+    if response.status == 404:
         return NotDone(Cause.LEASE_LAPSED)
-    decoded = _decode(answer, RevisionAnswer)
+    decoded = _decode(response, RevisionResponse)
     if decoded is None:
-        return Unknown(Cause.BAD_ANSWER)
-    if answer.status == 409:
+        return Unknown(Cause.BAD_RESPONSE)
+    if response.status == 409:
         return Conflict(decoded.revision)
     return Done(decoded.revision)
 
 
-def _decode(answer: urllib3.BaseHTTPResponse, shape: Any) -> Any:
+def _decode(response: urllib3.BaseHTTPResponse, shape: Any) -> Any:
     try:
-        return msgspec.json.decode(answer.data, type=shape)
+        return msgspec.json.decode(response.data, type=shape)
     except msgspec.DecodeError:
         return None
--- a/monsoontray/store/outcomes.py
+++ b/monsoontray/store/outcomes.py
@@ -48,7 +48,7 @@
     OVERLOADED = "overloaded"
     TIMEOUT = "timeout"
     CONNECTION_LOST = "connection-lost"
-    BAD_ANSWER = "bad-answer"
+    BAD_RESPONSE = "bad-response"
     LEASE_LAPSED = "lease-lapsed"
 
 
--- /dev/null
+++ b/tests/test_bench/test_commands.py
@@ -0,0 +1,83 @@
+"""The arguments of the experiment tool; the experiments themselves run apart."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from bench.faults import NAMES, Fault, FaultRunner, read_faults
+from bench.fleet import Fleet
+
+
+def run(*words: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "bench", *words]
+    return subprocess.run(command, capture_output=True, text=True, check=False)
+
+
+def test_list_names_the_experiments():
+    names = {line.split()[0] for line in run("list").stdout.splitlines()}
+    assert {"latency", "throughput", "convergence"} <= names
+    assert {"herd", "outage", "partition"} <= names
+
+
+@pytest.mark.parametrize(
+    ("words", "told"),
+    [
+        (("no-such",), "'no-such'"),
+        (("latency", "--nodes=0"), "0"),
+        (("latency", "--seed=x"), "'x'"),
+        (("latency", "--duration-s=-1"), "-1"),
+        (("latency", "--faults=/no/such/file"), "/no/such/file"),
+    ],
+)
+def test_bad_arguments_end_with_code_2_and_one_line(words, told):
+    result = run("run", *words)
+    assert result.returncode == 2
+    assert told in result.stderr
+    assert len(result.stderr.strip().splitlines()) == 1
+
+
+def write_schedule(tmp_path, *faults):
+    path = tmp_path / "faults.json"
+    path.write_text(json.dumps(faults))
+    return path
+
+
+def test_a_schedule_is_read_in_order(tmp_path):
+    path = write_schedule(
+        tmp_path,
+        {"at_s": 5.0, "fault": "store_out", "target": "store", "for_s": 1.0},
+        {"at_s": 1.0, "fault": "kill_nodes", "target": "zone:1", "fraction": 0.5},
+    )
+    assert [fault.fault for fault in read_faults(path)] == ["kill_nodes", "store_out"]
+
+
+@pytest.mark.parametrize(
+    ("change", "told"),
+    [
+        ({"fault": "meteor"}, "'meteor'"),
+        ({"target": "moon"}, "'moon'"),
+        ({"target": "zone:x"}, "'zone:x'"),
+        ({"fraction": 1.5}, "1.5"),
+        ({"surprise": 1}, "surprise"),
+    ],
+)
+def test_a_bad_schedule_is_refused_with_key_and_value(tmp_path, change, told):
+    fault = {"at_s": 1.0, "fault": "store_out", "target": "store", **change}
+    with pytest.raises(ValueError, match=told):
+        read_faults(write_schedule(tmp_path, fault))
+
+
+def test_every_fault_of_the_contract_can_be_brought_about():
+    with Fleet() as fleet:
+        for i, zone in enumerate(("zone-a", "zone-a", "zone-b")):
+            fleet.add_node(f"node-{i}", zone)
+        faults = tuple(Fault(1.0, name) for name in NAMES)
+        runner = FaultRunner(fleet, faults, seed=1)
+        assert len(runner._steps) >= len(NAMES)
+        half = Fault(1.0, "kill_nodes", fraction=0.5)
+        chosen = runner._find_targets(half)
+        assert sorted(node.zone for node in chosen) == ["zone-a", "zone-b"]
