--- a/monsoontray/membership/service.py
+++ b/monsoontray/membership/service.py
@@ -26,7 +26,6 @@
     ExchangeReceived,
     FleetState,
     NodeLeaves,
-    NodesBehind,
     SeedsFound,
     SendExchange,
     ServerLeaves,
@@ -34,6 +33,7 @@
     WaitForVersion,
     WatchingChanged,
 )
+from monsoontray.membership.waiting import WaitingOperators
 from monsoontray.plans.model import NO_VERSION, VersionName
 
 if TYPE_CHECKING:
@@ -82,15 +82,14 @@
         self._last_push = 0.0
         self._next_rotation = self.clock.now() + ROTATION_S
         self._answered: set[str] = set()
-        self._waiting: list[WaitForVersion] = []
+        self._waiting = WaitingOperators()
 
     def find_next_deadline(self) -> float | None:
         """Return when the next exchange, push or expiry is due."""
         deadlines = [self._next_exchange]
-        deadlines += [waiting.deadline for waiting in self._waiting]
         if self._next_push is not None:
             deadlines.append(self._next_push)
-        for holder in (self.fleet, self._announcements):
+        for holder in (self.fleet, self._announcements, self._waiting):
             expiry = holder.find_next_deadline()
             if expiry is not None:
                 deadlines.append(expiry)
@@ -126,21 +125,15 @@
 
     def wait_for_version(self, message: WaitForVersion) -> None:
         """Answer when a version is everywhere, or at the deadline."""
-        self._waiting.append(message)
+        self._waiting.add(message)
         self.answer_waiting()
 
     def answer_waiting(self) -> None:
         """Answer those whose version is everywhere or whose deadline has passed."""
-        now = self.clock.now()
-        numbers = self.marks.get_numbers() if self._waiting else {}
-        still_waiting = []
-        for waiting in self._waiting:
-            behind = self.fleet.find_behind(waiting.number, numbers)
-            if behind and waiting.deadline > now:
-                still_waiting.append(waiting)
-            else:
-                waiting.reply.put(NodesBehind(behind))
-        self._waiting = still_waiting
+        self._waiting.answer(self._find_behind, self.clock.now())
+
+    def _find_behind(self, number: int) -> tuple[str, ...]:
+        return self.fleet.find_behind(number, self.marks.get_numbers())
 
     def publish_servers(self) -> None:
         """Give the changed table of servers to those who use it."""
