Move the watcher's decisions to the decisions package

Change: decisions/watching.py, functions of records, directory and random numbers, with tests; the task only acts on them. Conclusion: what acceptance concludes from a head that moved still stands in its task.

--- a/monsoontray/configuration/watcher.py
+++ b/monsoontray/configuration/watcher.py
@@ -21,6 +21,12 @@
 )
 from monsoontray.decisions.backoff import compute_retry_time
 from monsoontray.decisions.fleet import NodeState
+from monsoontray.decisions.servers import Place
+from monsoontray.decisions.watching import (
+    choose_seeds,
+    find_strangers,
+    may_try_lease,
+)
 from monsoontray.kernel.errors import ReplyTimeoutError
 from monsoontray.kernel.kernel import DeathPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
@@ -48,7 +54,6 @@
 FIRST_RETRY_S = 0.2
 LONGEST_RETRY_S = 10.0
 DIRECTORY_INTERVAL_S = 2.0  # between comparisons of the zone's directory
-SEED_COUNT = 8
 ASK_TIMEOUT_S = 1.0
 GREETING_S = 1.0  # time that greeted nodes have to answer
 RENEWALS_PER_LEASE = 3
@@ -62,6 +67,7 @@
         settings: Settings = kernel.find("settings").settings
         self._node = settings.get_text("node")
         region, zone = settings.get_text("region"), settings.get_text("zone")
+        self._place = Place(self._node, region, zone)
         self._zone_name = f"{region}/{zone}"
         self._watch_key = build_watch_key(region, zone)
         self._lifetime_s = settings.get_seconds("watch_lease_ms")
@@ -116,7 +122,7 @@
                 self._next_step = now + GREETING_S / 4
                 return True
         if self._lease is None or self._lease.deadline <= now:
-            if not self._may_try_lease(fleet):
+            if not may_try_lease(self._place, fleet.records):
                 self._next_step = now + self._lifetime_s * (1 + self._random.random())
                 return True
             if not self._take_lease():
@@ -147,37 +153,13 @@
         record = self._client.get(DIRECTORY_KEY)
         if isinstance(record, NotDone):
             return False
-        seeds = self._choose_seeds(self._read_directory(record))
+        directory = self._read_directory(record)
+        seeds = choose_seeds(self._place, directory.zones, self._random)
         if seeds:
             self.kernel.post("membership", SeedsFound(seeds))
             self._greeted_until = self.clock.now() + GREETING_S
         return True
 
-    def _choose_seeds(self, directory: Directory) -> tuple[str, ...]:
-        own = dict(directory.zones.get(self._zone_name, {}))
-        own.pop(self._node, None)
-        near = list(own.values())
-        self._random.shuffle(near)
-        seeds = near[: SEED_COUNT // 2]
-        others = [
-            address
-            for zone, nodes in directory.zones.items()
-            if zone != self._zone_name
-            for address in nodes.values()
-        ]
-        self._random.shuffle(others)
-        return tuple(seeds + others[: SEED_COUNT - len(seeds)])
-
-    def _may_try_lease(self, fleet: FleetState) -> bool:
-        """Say whether no other node of the zone is believed to watch."""
-        for record in fleet.records:
-            same_zone = f"{record.region}/{record.zone}" == self._zone_name
-            other = record.node != self._node
-            alive = record.state is NodeState.ALIVE
-            if same_zone and other and alive and record.watching:
-                return False
-        return True
-
     def _take_lease(self) -> bool:
         lease = self._client.grant_lease(self._lifetime_s)
         if not isinstance(lease, Lease):
@@ -252,17 +234,10 @@
 
     def _greet_strangers(self, fleet: FleetState, directory: Directory) -> None:
         """Join parts of the fleet that have not heard of each other."""
-        known = {record.node for record in fleet.records}
-        strangers = [
-            address
-            for nodes in directory.zones.values()
-            for node, address in nodes.items()
-            if node not in known
-        ]
-        self._random.shuffle(strangers)
+        known = (record.node for record in fleet.records)
+        strangers = find_strangers(known, directory.zones, self._random)
         if strangers:
-            seeds = tuple(strangers[:SEED_COUNT])
-            self.kernel.post("membership", SeedsFound(seeds))
+            self.kernel.post("membership", SeedsFound(strangers))
 
     def _read_head(self, record: Record) -> VersionName | None:
         try:
--- /dev/null
+++ b/monsoontray/decisions/watching.py
@@ -0,0 +1,58 @@
+"""Decide who watches the store for a zone and whom a starting node greets."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from random import Random
+
+from monsoontray.decisions.fleet import NodeRecord, NodeState
+from monsoontray.decisions.servers import Place
+
+SEED_COUNT = 8  # nodes greeted at once
+
+
+def may_try_lease(place: Place, records: Iterable[NodeRecord]) -> bool:
+    """Say whether no other living node of the zone is believed to watch."""
+    for record in records:
+        same_zone = (record.region, record.zone) == (place.region, place.zone)
+        other = record.node != place.node
+        if same_zone and other and record.watching and record.state is NodeState.ALIVE:
+            return False
+    return True
+
+
+def choose_seeds(
+    place: Place, directory: Mapping[str, Mapping[str, str]], random: Random
+) -> tuple[str, ...]:
+    """Choose peer addresses to greet, half of them in the own zone at most."""
+    own_zone = f"{place.region}/{place.zone}"
+    near = [
+        address
+        for node, address in directory.get(own_zone, {}).items()
+        if node != place.node
+    ]
+    far = [
+        address
+        for zone, nodes in directory.items()
+        if zone != own_zone
+        for address in nodes.values()
+    ]
+    random.shuffle(near)
+    random.shuffle(far)
+    seeds = near[: SEED_COUNT // 2]
+    return tuple(seeds + far[: SEED_COUNT - len(seeds)])
+
+
+def find_strangers(
+    known: Iterable[str], directory: Mapping[str, Mapping[str, str]], random: Random
+) -> tuple[str, ...]:
+    """Choose addresses of nodes in the directory that are not known yet."""
+    names = set(known)
+    strangers = [
+        address
+        for nodes in directory.values()
+        for node, address in nodes.items()
+        if node not in names
+    ]
+    random.shuffle(strangers)
+    return tuple(strangers[:SEED_COUNT])
--- /dev/null
+++ b/tests/test_decisions/test_watching.py
@@ -0,0 +1,44 @@
+from __future__ import annotations
+
+from random import Random
+
+from monsoontray.decisions.fleet import NodeRecord, NodeState
+from monsoontray.decisions.servers import Place
+from monsoontray.decisions.watching import (
+    SEED_COUNT,
+    choose_seeds,
+    find_strangers,
+    may_try_lease,
+)
+
+PLACE = Place("own", "norte", "zone-a")
+
+
+def build_record(node: str, zone: str = "zone-a", **changes) -> NodeRecord:
+    return NodeRecord(node, "norte", zone, "g", "p", 1, 1, **changes)
+
+
+def test_a_zone_with_a_living_watcher_needs_no_other():
+    watcher = build_record("a", watching=True)
+    assert not may_try_lease(PLACE, [watcher])
+    assert may_try_lease(PLACE, [build_record("own", watching=True)])
+    assert may_try_lease(PLACE, [build_record("a", "zone-b", watching=True)])
+    suspect = build_record("a", watching=True, state=NodeState.SUSPECT)
+    assert may_try_lease(PLACE, [suspect])
+
+
+def test_seeds_come_from_the_own_zone_and_from_others():
+    near = {"own": "own-address", **{f"n{i}": f"near-{i}" for i in range(20)}}
+    far = {f"f{i}": f"far-{i}" for i in range(20)}
+    directory = {"norte/zone-a": near, "norte/zone-b": far}
+    seeds = choose_seeds(PLACE, directory, Random(1))
+    assert len(set(seeds)) == SEED_COUNT
+    assert "own-address" not in seeds
+    assert sum(seed.startswith("near") for seed in seeds) == SEED_COUNT // 2
+    assert choose_seeds(PLACE, {"norte/zone-a": {"own": "x"}}, Random(1)) == ()
+
+
+def test_only_unknown_nodes_are_strangers():
+    directory = {"norte/zone-a": {"a": "1", "b": "2"}, "norte/zone-b": {"c": "3"}}
+    assert set(find_strangers(["a"], directory, Random(1))) == {"2", "3"}
+    assert find_strangers(["a", "b", "c"], directory, Random(1)) == ()
