--- a/bench/standins/store.py
+++ b/bench/standins/store.py
@@ -1,48 +1,74 @@
-"""Stand-in of the platform's key-value service.
+"""Stand-in of the platform's key-value store.
 
-Holds values up to a megabyte with compare-and-swap, leases and watches, counts
-every call (a waiting watch as one) and takes faults through ``/control``.
+Speaks the platform's protocol: items with revisions, listings in pages, watches of
+prefixes, all-or-nothing writes and leases. Counts every call (a waiting watch as
+one) and takes faults through ``/control``.
 """
 
 from __future__ import annotations
 
 import asyncio
+import base64
+import binascii
 import itertools
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field
+from typing import Any
 
 import fire
 import msgspec
 from aiohttp import web
 
 MAX_VALUE_BYTES = 1_048_576
+MAX_KEY_BYTES = 200
+MAX_ENTRIES = 32  # of one write
+PAGE_ITEMS = 500
+HISTORY_S = 20.0
 RATE_WINDOW_S = 1.0
 MS_PER_S = 1000
+READ_ONLY_PREFIXES = ("op/", "servers/")
 
 
 class Faults(msgspec.Struct):
     """Faults in force; all off by default."""
 
     out: bool = False  # connections are cut without an answer
+    silent: bool = False  # nothing is answered
+    busy: bool = False  # every call is refused with 503
     latency_ms: float = 0.0
     lose_answers: bool = False  # writes take effect, their answers are lost
     writes_per_s: float = 0.0  # 0 means no limit
     reads_per_s: float = 0.0
 
 
-class WriteBody(msgspec.Struct):
-    """Body of a write."""
+class Condition(msgspec.Struct):
+    """One condition of a write."""
 
+    key: str
     revision: int
+
+
+class PutRow(msgspec.Struct):
+    """One key that a write sets."""
+
+    key: str
     value: str
-    lease: str = ""
+    lease: int = 0
+
+
+class WriteBody(msgspec.Struct):
+    """Body of a write."""
+
+    expect: list[Condition] = []
+    puts: list[PutRow] = []
+    remove: list[str] = []
 
 
 class LeaseBody(msgspec.Struct):
-    """Body of a grant or renewal."""
+    """Body of a grant."""
 
-    lifetime_ms: int
+    ttl_s_time: float
 
 
 @dataclass(slots=True)
@@ -50,22 +76,33 @@
     """Hold a key."""
 
     revision: int
+    created: int
     value: str
-    lease: str
+    lease: int
+
+
+@dataclass(slots=True)
+class Lease:
+    """Hold a lease."""
+
+    lifetime_s: float
+    deadline: float
 
 
 @dataclass(slots=True)
 class StoreState:
-    """Hold keys, leases, counts and waiting watches."""
+    """Hold keys, leases, history, counts and waiting watches."""
 
     entries: dict[str, Entry] = field(default_factory=dict)
-    leases: dict[str, float] = field(default_factory=dict)  # deadline
-    revision: int = 0
+    leases: dict[int, Lease] = field(default_factory=dict)
+    revision: int = 1
+    oldest: int = 1  # the revision from which the history is complete
+    history: deque[tuple[float, dict[str, Any]]] = field(default_factory=deque)
     counts: Counter[str] = field(default_factory=Counter)
     calls: deque[tuple[float, str]] = field(default_factory=deque)
     faults: Faults = field(default_factory=Faults)
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
-    names: itertools.count[int] = field(default_factory=itertools.count)
+    names: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
 
 
 class Store:
@@ -79,12 +116,14 @@
         application = web.Application(client_max_size=2 * MAX_VALUE_BYTES)
         application.add_routes(
             [
-                web.get("/keys/{key}", self.get),
-                web.put("/keys/{key}", self.write),
-                web.get("/watch/{key}", self.watch),
-                web.post("/leases", self.grant),
-                web.post("/leases/{lease}", self.renew),
-                web.delete("/leases/{lease}", self.end),
+                web.get("/kv-key", self.get),
+                web.get("/kv-range", self.list_items),
+                web.get("/kv-watch", self.watch),
+                web.post("/kv-txn", self.write),
+                web.post("/kv-lease", self.grant),
+                web.post("/kv-keep/{lease}", self.renew),
+                web.delete("/kv-lease-end/{lease}", self.end),
+                web.post("/operator", self.operate),
                 web.post("/control", self.control),
                 web.get("/observed", self.observe),
             ]
@@ -94,87 +133,123 @@
     async def get(self, request: web.Request) -> web.StreamResponse:
         """Read a key."""
         await self._begin(request, "read")
-        return self._answer_entry(request.match_info["key"])
-
-    async def write(self, request: web.Request) -> web.StreamResponse:
-        """Write a key by compare-and-swap."""
-        await self._begin(request, "write")
-        body = msgspec.json.decode(await request.read(), type=WriteBody)
-        if len(body.value) > MAX_VALUE_BYTES * 4 // 3 + 4:
-            return web.json_response({"error": "value too large"}, status=413)
         self._lapse()
-        if body.lease and body.lease not in self.state.leases:
-            return web.json_response({"error": "no such lease"}, status=404)
-        key = request.match_info["key"]
+        key = request.query["key"]
         entry = self.state.entries.get(key)
-        current = entry.revision if entry is not None else 0
-        if current != body.revision:
-            return web.json_response({"revision": current}, status=409)
-        self.state.revision += 1
-        revision = self.state.revision
-        self.state.entries[key] = Entry(revision, body.value, body.lease)
-        await self._notify()
-        if self.state.faults.lose_answers:
-            _cut(request)
-        return web.json_response({"revision": revision})
+        if entry is None:
+            return web.json_response({"as_of": self.state.revision}, status=404)
+        item = _describe(key, entry)
+        return web.json_response({**item, "as_of": self.state.revision})
+
+    async def list_items(self, request: web.Request) -> web.StreamResponse:
+        """Read a page of the items below a prefix."""
+        await self._begin(request, "read")
+        self._lapse()
+        prefix, after = request.query["prefix"], request.query.get("after", "")
+        entries = self.state.entries
+        keys = sorted(k for k in entries if k.startswith(prefix) and k > after)
+        items = [_describe(key, entries[key]) for key in keys[:PAGE_ITEMS]]
+        return web.json_response(
+            {
+                "items": items,
+                "truncated": len(keys) > PAGE_ITEMS,
+                "as_of": self.state.revision,
+            }
+        )
 
     async def watch(self, request: web.Request) -> web.StreamResponse:
-        """Wait until a key is at another revision."""
+        """Wait for events below a prefix."""
         await self._begin(request, "watch")
-        key = request.match_info["key"]
-        known = int(request.query["revision"])
+        prefix, after = request.query["prefix"], int(request.query["after"])
         deadline = time.monotonic() + int(request.query["wait_ms"]) / MS_PER_S
         while True:
             if self.state.faults.out:
                 _cut(request)
             self._lapse()
-            entry = self.state.entries.get(key)
-            if (entry.revision if entry is not None else 0) != known:
-                return self._answer_entry(key)
+            if after < self.state.oldest:
+                return web.json_response({"error": "history is gone"}, status=410)
+            events = [
+                event
+                for _, event in self.state.history
+                if event["revision"] > after and event["key"].startswith(prefix)
+            ]
             remaining = deadline - time.monotonic()
-            if remaining <= 0:
-                return web.Response(status=204)
+            if events or remaining <= 0:
+                return web.json_response(
+                    {"events": events, "as_of": self.state.revision}
+                )
             async with self.state.changed:
                 try:
                     await asyncio.wait_for(self.state.changed.wait(), remaining)
                 except TimeoutError:
-                    return web.Response(status=204)
+                    continue
+
+    async def write(self, request: web.Request) -> web.StreamResponse:
+        """Make all changes under their conditions, or none."""
+        await self._begin(request, "write")
+        body = msgspec.json.decode(await request.read(), type=WriteBody)
+        self._lapse()
+        refusal = self._check_write(body)
+        if refusal is not None:
+            return refusal
+        for put in body.puts:
+            self._put(put)
+        for key in body.remove:
+            self._remove(key)
+        await self._notify()
+        if self.state.faults.lose_answers:
+            _cut(request)
+        return web.json_response({"revision": self.state.revision})
 
     async def grant(self, request: web.Request) -> web.StreamResponse:
         """Grant a lease."""
         await self._begin(request, "write")
         body = msgspec.json.decode(await request.read(), type=LeaseBody)
-        lease = f"lease-{next(self.state.names)}"
-        self.state.leases[lease] = time.monotonic() + body.lifetime_ms / MS_PER_S
+        lease = next(self.state.names)
+        lifetime_s = body.ttl_s_time
+        self.state.leases[lease] = Lease(lifetime_s, time.monotonic() + lifetime_s)
         if self.state.faults.lose_answers:
             _cut(request)
-        return web.json_response({"lease": lease})
+        return web.json_response({"lease": lease, "ttl_s_time": lifetime_s})
 
     async def renew(self, request: web.Request) -> web.StreamResponse:
         """Extend a lease."""
-        await self._begin(request, "write")
-        body = msgspec.json.decode(await request.read(), type=LeaseBody)
+        await self._begin(request, "read")
         self._lapse()
-        lease = request.match_info["lease"]
-        if lease not in self.state.leases:
+        lease = self.state.leases.get(int(request.match_info["lease"]))
+        if lease is None:
             return web.json_response({"error": "no such lease"}, status=404)
-        self.state.leases[lease] = time.monotonic() + body.lifetime_ms / MS_PER_S
-        return web.json_response({"lease": lease})
+        lease.deadline = time.monotonic() + lease.lifetime_s
+        return web.json_response({"ttl_s_time": lease.lifetime_s})
 
     async def end(self, request: web.Request) -> web.StreamResponse:
         """End a lease."""
         await self._begin(request, "write")
-        self.state.leases.pop(request.match_info["lease"], None)
+        known = self.state.leases.pop(int(request.match_info["lease"]), None)
         self._lapse()
         await self._notify()
+        return web.json_response({}, status=404 if known is None else 200)
+
+    async def operate(self, request: web.Request) -> web.StreamResponse:
+        """Write or remove keys as the platform's operator or another writer."""
+        body = msgspec.json.decode(await request.read(), type=WriteBody)
+        for put in body.puts:
+            self._put(put)
+        for key in body.remove:
+            self._remove(key)
+        await self._notify()
         return web.json_response({"revision": self.state.revision})
 
     async def control(self, request: web.Request) -> web.StreamResponse:
-        """Set the faults; ``lapse`` ends every lease at once."""
+        """Set the faults; ``lapse`` ends every lease, ``compact`` the history."""
         body = await request.json()
         if body.pop("lapse", False):
             self.state.leases.clear()
             self._lapse()
+        if body.pop("compact", False):
+            self.state.history.clear()
+            self.state.revision += 1
+            self.state.oldest = self.state.revision
         self.state.faults = msgspec.convert(body, Faults)
         await self._notify()
         return web.json_response({})
@@ -192,12 +267,64 @@
         faults = self.state.faults
         if faults.out:
             _cut(request)
+        while self.state.faults.silent:
+            async with self.state.changed:
+                await self.state.changed.wait()
+        if faults.busy:
+            raise web.HTTPServiceUnavailable
         limit = faults.writes_per_s if kind == "write" else faults.reads_per_s
         if limit and self._count_recent()[kind] > limit:
-            raise web.HTTPServiceUnavailable
+            raise web.HTTPTooManyRequests
         if faults.latency_ms:
             await asyncio.sleep(faults.latency_ms / MS_PER_S)
 
+    def _check_write(self, body: WriteBody) -> web.Response | None:
+        changes = len(body.expect) + len(body.puts) + len(body.remove)
+        keys = [put.key for put in body.puts] + body.remove
+        if any(key.startswith(READ_ONLY_PREFIXES) for key in keys):
+            return web.json_response({"error": "read-only"}, status=403)
+        if changes > MAX_ENTRIES or any(len(k.encode()) > MAX_KEY_BYTES for k in keys):
+            return web.json_response({"error": "too much"}, status=400)
+        for put in body.puts:
+            try:
+                value = base64.b64decode(put.value, validate=True)
+            except binascii.Error:
+                return web.json_response({"error": "not base64"}, status=400)
+            if len(value) > MAX_VALUE_BYTES:
+                return web.json_response({"error": "value too large"}, status=413)
+            if put.lease and put.lease not in self.state.leases:
+                return web.json_response({"error": "no such lease"}, status=404)
+        entries = self.state.entries
+        for condition in body.expect:
+            entry = entries.get(condition.key)
+            if (entry.revision if entry is not None else 0) != condition.revision:
+                named = [c.key for c in body.expect if c.key in entries]
+                items = [_describe(key, entries[key]) for key in named]
+                return web.json_response({"items": items}, status=412)
+        return None
+
+    def _put(self, put: PutRow) -> None:
+        self.state.revision += 1
+        revision = self.state.revision
+        known = self.state.entries.get(put.key)
+        created = revision if known is None else known.created
+        entry = Entry(revision, created, put.value, put.lease)
+        self.state.entries[put.key] = entry
+        self._remember(_describe(put.key, entry))
+
+    def _remove(self, key: str) -> None:
+        if self.state.entries.pop(key, None) is None:
+            return
+        self.state.revision += 1
+        self._remember({"key": key, "revision": self.state.revision, "removed": True})
+
+    def _remember(self, event: dict[str, Any]) -> None:
+        now = time.monotonic()
+        history = self.state.history
+        history.append((now, event))
+        while history and history[0][0] < now - HISTORY_S:
+            self.state.oldest = history.popleft()[1]["revision"]
+
     def _count_recent(self) -> dict[str, int]:
         calls = self.state.calls
         oldest = time.monotonic() - RATE_WINDOW_S
@@ -209,24 +336,27 @@
     def _lapse(self) -> None:
         now = time.monotonic()
         leases = self.state.leases
-        for lease in [name for name, deadline in leases.items() if deadline <= now]:
-            del leases[lease]
+        for name in [n for n, lease in leases.items() if lease.deadline <= now]:
+            del leases[name]
         entries = self.state.entries
         for key in [k for k, e in entries.items() if e.lease and e.lease not in leases]:
-            del entries[key]
-
-    def _answer_entry(self, key: str) -> web.Response:
-        self._lapse()
-        entry = self.state.entries.get(key)
-        if entry is None:
-            return web.json_response({"error": "no such key"}, status=404)
-        return web.json_response({"revision": entry.revision, "value": entry.value})
+            self._remove(key)
 
     async def _notify(self) -> None:
         async with self.state.changed:
             self.state.changed.notify_all()
 
 
+def _describe(key: str, entry: Entry) -> dict[str, Any]:
+    return {
+        "key": key,
+        "value": entry.value,
+        "revision": entry.revision,
+        "created": entry.created,
+        "lease": entry.lease,
+    }
+
+
 def _cut(request: web.Request) -> None:
     """Cut the connection without an answer."""
     if request.transport is not None:
--- /dev/null
+++ b/monsoontray/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the users' platform and the product; decide nothing."""
--- /dev/null
+++ b/monsoontray/platform/store.py
@@ -0,0 +1,350 @@
+"""The client of the platform's key-value store."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    MaxRetryError,
+    NewConnectionError,
+    ProtocolError,
+    ReadTimeoutError,
+)
+
+from monsoontray.kernel.clock import Clock
+from monsoontray.store.outcomes import (
+    ABSENT,
+    Cause,
+    Changes,
+    Compacted,
+    Conflict,
+    Done,
+    Lease,
+    LeaseOutcome,
+    ListOutcome,
+    Listing,
+    NotDone,
+    Put,
+    ReadOutcome,
+    Record,
+    Unchanged,
+    Unknown,
+    WatchOutcome,
+    WatchPrefixOutcome,
+    WriteOutcome,
+)
+
+WATCH_MARGIN_S = 0.7  # beyond the wait that was asked for: a slow answer on its way
+MAX_PAGES = 64  # pages of one listing; a page holds about 500 records
+_MS_PER_S = 1000
+_LEASE_LOST = 404
+_CONFLICT = 412
+_COMPACTED = 410
+
+
+class ItemShape(msgspec.Struct, frozen=True):
+    """Shape of a record, or of an event in a watch."""
+
+    key: str
+    revision: int
+    value: str = ""  # base64
+    removed: bool = False
+
+
+class PageShape(msgspec.Struct, frozen=True):
+    """Shape of one page of a listing."""
+
+    items: tuple[ItemShape, ...]
+    as_of: int
+    truncated: bool = False
+
+
+class EventsShape(msgspec.Struct, frozen=True):
+    """Shape of the answer to a watch."""
+
+    events: tuple[ItemShape, ...]
+    as_of: int  # where the next watch continues
+
+
+class AbsentShape(msgspec.Struct, frozen=True):
+    """Shape of the answer about a key that does not exist."""
+
+    as_of: int
+
+
+class RevisionShape(msgspec.Struct, frozen=True):
+    """Shape of the answer to a write."""
+
+    revision: int
+
+
+class ConflictShape(msgspec.Struct, frozen=True):
+    """Shape of the answer to a write whose condition does not hold."""
+
+    items: tuple[ItemShape, ...] = ()
+
+
+class LeaseShape(msgspec.Struct, frozen=True):
+    """Shape of the answer to a grant or renewal."""
+
+    ttl_s_time: float  # a lifetime in seconds, in spite of its name
+    lease: int = 0
+
+
+class PlatformStoreClient:
+    """Call the store over HTTP; tries its endpoints in turn."""
+
+    def __init__(
+        self, endpoints: Sequence[str], timeout_s: float, clock: Clock
+    ) -> None:
+        self._endpoints = tuple(endpoint.rstrip("/") for endpoint in endpoints)
+        self._current = 0
+        self._timeout_s = timeout_s
+        self._clock = clock
+        #: Revisions at which keys were found not to exist.
+        self._absent_at: dict[str, int] = {}
+        self._pool = urllib3.PoolManager(retries=False, maxsize=1, num_pools=4)
+
+    def get(self, key: str) -> ReadOutcome:
+        """Return the record of a key."""
+        response = self._read("/kv-key", {"key": key}, self._timeout_s)
+        if isinstance(response, NotDone):
+            return response
+        if response.status == 404:
+            absent = _decode(response, AbsentShape)
+            if absent is not None:
+                self._absent_at[key] = absent.as_of
+            return Record(key, ABSENT, b"")
+        item = _decode(response, ItemShape)
+        record = None if item is None else _read_record(item)
+        return NotDone(Cause.BAD_RESPONSE) if record is None else record
+
+    def list_prefix(self, prefix: str) -> ListOutcome:
+        """Return the records below a prefix, and the revision to watch from."""
+        records: list[Record] = []
+        revision = None
+        after = ""
+        for _ in range(MAX_PAGES):
+            query = {"prefix": prefix}
+            if after:
+                query["after"] = after
+            response = self._read("/kv-range", query, self._timeout_s)
+            if isinstance(response, NotDone):
+                return response
+            page = _decode(response, PageShape)
+            if page is None:
+                return NotDone(Cause.BAD_RESPONSE)
+            # Pages are read at different revisions: a watch from the first one
+            # repeats what later pages may have missed.
+            revision = page.as_of if revision is None else revision
+            records += _read_records(page.items)
+            if not page.truncated or not page.items:
+                return Listing(tuple(records), revision)
+            after = page.items[-1].key
+        return NotDone(Cause.BAD_RESPONSE)
+
+    def watch_prefix(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> WatchPrefixOutcome:
+        """Wait for changes below a prefix after a revision."""
+        wait_ms = int(wait_s * _MS_PER_S)
+        query = {"prefix": prefix, "after": revision, "wait_ms": wait_ms}
+        response = self._read("/kv-watch", query, wait_s + WATCH_MARGIN_S)
+        if isinstance(response, NotDone):
+            return response
+        if response.status == _COMPACTED:
+            return Compacted()
+        answer = _decode(response, EventsShape)
+        if answer is None:
+            return NotDone(Cause.BAD_RESPONSE)
+        kept = tuple(_read_records([e for e in answer.events if not e.removed]))
+        removed = tuple(
+            Record(event.key, event.revision, b"")
+            for event in answer.events
+            if event.removed
+        )
+        return Changes(kept, removed, answer.as_of)
+
+    def watch(self, key: str, revision: int, wait_s: float) -> WatchOutcome:
+        """Wait until a key is at another revision than the one given."""
+        after = revision
+        if revision == ABSENT:
+            after = self._absent_at.get(key, ABSENT)
+        if after == ABSENT:
+            listed = self.list_prefix(key)
+            if isinstance(listed, NotDone):
+                return listed
+            for record in listed.records:
+                if record.key == key:
+                    return record
+            after = listed.revision
+        outcome = self.watch_prefix(key, after, wait_s)
+        if isinstance(outcome, Compacted):
+            current = self.get(key)
+            if isinstance(current, Record) and current.revision == revision:
+                return Unchanged()
+            return current
+        if isinstance(outcome, NotDone):
+            return outcome
+        for record in reversed(outcome.records):
+            if record.key == key:
+                return record
+        if any(record.key == key for record in outcome.removed):
+            return Record(key, ABSENT, b"")
+        return Unchanged()
+
+    def compare_and_swap(
+        self, key: str, revision: int, value: bytes, lease: str = ""
+    ) -> WriteOutcome:
+        """Write a key that is still at a revision."""
+        return self.commit({key: revision}, (Put(key, value, lease),))
+
+    def commit(
+        self,
+        expected: dict[str, int],
+        puts: Sequence[Put] = (),
+        removed: Sequence[str] = (),
+    ) -> WriteOutcome:
+        """Make all changes, or none unless every key is at its expected revision."""
+        body = {
+            "expect": [{"key": k, "revision": r} for k, r in expected.items()],
+            "puts": [_write_put(put) for put in puts],
+            "remove": list(removed),
+        }
+        response = self._send("POST", "/kv-txn", body, self._timeout_s)
+        if isinstance(response, NotDone | Unknown):
+            return response
+        if response.status == _LEASE_LOST:
+            return NotDone(Cause.LEASE_LAPSED)
+        if response.status == _CONFLICT:
+            conflict = _decode(response, ConflictShape)
+            if conflict is None:
+                return Unknown(Cause.BAD_RESPONSE)
+            current = max((item.revision for item in conflict.items), default=ABSENT)
+            return Conflict(current)
+        done = _decode(response, RevisionShape)
+        return Unknown(Cause.BAD_RESPONSE) if done is None else Done(done.revision)
+
+    def grant_lease(self, lifetime_s: float) -> LeaseOutcome:
+        """Obtain a lease."""
+        return self._hold_lease("/kv-lease", {"ttl_s_time": lifetime_s}, "")
+
+    def renew_lease(self, lease: str, lifetime_s: float) -> LeaseOutcome:
+        """Extend a lease by the lifetime that it was granted for."""
+        return self._hold_lease(f"/kv-keep/{lease}", None, lease)
+
+    def end_lease(self, lease: str) -> WriteOutcome:
+        """Give a lease back."""
+        response = self._send(
+            "DELETE", f"/kv-lease-end/{lease}", None, self._timeout_s
+        )
+        if isinstance(response, NotDone | Unknown):
+            return response
+        if response.status == _LEASE_LOST:
+            return NotDone(Cause.LEASE_LAPSED)
+        return Done(ABSENT)
+
+    def close(self) -> None:
+        """Release the connections."""
+        self._pool.clear()
+
+    def _hold_lease(self, path: str, body: object, lease: str) -> LeaseOutcome:
+        asked_at = self._clock.now()
+        response = self._send("POST", path, body, self._timeout_s)
+        if isinstance(response, NotDone | Unknown):
+            return response
+        if response.status == _LEASE_LOST:
+            return NotDone(Cause.LEASE_LAPSED)
+        granted = _decode(response, LeaseShape)
+        if granted is None:
+            return Unknown(Cause.BAD_RESPONSE)
+        return Lease(lease or str(granted.lease), asked_at + granted.ttl_s_time)
+
+    def _read(
+        self, path: str, query: dict[str, Any], timeout_s: float
+    ) -> urllib3.BaseHTTPResponse | NotDone:
+        response = self._send("GET", f"{path}?{urlencode(query)}", None, timeout_s)
+        return NotDone(response.cause) if isinstance(response, Unknown) else response
+
+    def _send(
+        self, method: str, path: str, body: object, timeout_s: float
+    ) -> urllib3.BaseHTTPResponse | NotDone | Unknown:
+        url = self._endpoints[self._current] + path
+        content = None if body is None else msgspec.json.encode(body)
+        headers = None if body is None else {"Content-Type": "application/json"}
+        timeout = urllib3.Timeout(
+            connect=min(timeout_s, self._timeout_s), read=timeout_s
+        )
+        try:
+            response = self._pool.request(
+                method, url, body=content, headers=headers, timeout=timeout,
+                redirect=False,
+            )  # fmt: skip
+        except HTTPError as error:
+            self._current = (self._current + 1) % len(self._endpoints)
+            # A connection on which an answer was lost returns nothing further.
+            self._pool.clear()
+            return _classify_failure(error)
+        return _classify_status(response)
+
+
+def _write_put(put: Put) -> dict[str, Any]:
+    row: dict[str, Any] = {
+        "key": put.key,
+        "value": base64.b64encode(put.value).decode(),
+    }
+    if put.lease:
+        row["lease"] = int(put.lease)
+    return row
+
+
+def _classify_failure(error: HTTPError) -> NotDone | Unknown:
+    if isinstance(error, MaxRetryError) and isinstance(error.reason, HTTPError):
+        error = error.reason
+    if isinstance(error, ConnectTimeoutError | NewConnectionError):
+        return NotDone(Cause.UNREACHABLE)
+    if isinstance(error, ReadTimeoutError):
+        return Unknown(Cause.TIMEOUT)
+    if isinstance(error, ProtocolError):
+        return Unknown(Cause.CONNECTION_LOST)
+    return Unknown(Cause.BAD_RESPONSE)
+
+
+def _classify_status(
+    response: urllib3.BaseHTTPResponse,
+) -> urllib3.BaseHTTPResponse | NotDone | Unknown:
+    if response.status in (429, 503):
+        return NotDone(Cause.OVERLOADED)
+    if response.status >= 500:
+        return Unknown(Cause.BAD_RESPONSE)
+    if response.status in (400, 403, 413):
+        return NotDone(Cause.REFUSED)
+    return response
+
+
+def _read_record(item: ItemShape) -> Record | None:
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except ValueError:
+        return None
+    return Record(item.key, item.revision, value)
+
+
+def _read_records(items: Sequence[ItemShape]) -> list[Record]:
+    """Return the records that can be read; a foreign writer may spoil others."""
+    read = [_read_record(item) for item in items]
+    return [record for record in read if record is not None]
+
+
+def _decode(response: urllib3.BaseHTTPResponse, shape: Any) -> Any:
+    try:
+        return msgspec.json.decode(response.data, type=shape)
+    except msgspec.DecodeError:
+        return None
--- a/monsoontray/store/client.py
+++ b/monsoontray/store/client.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Protocol
 
 from monsoontray.store.outcomes import (
     LeaseOutcome,
+    ListOutcome,
+    Put,
     ReadOutcome,
     WatchOutcome,
+    WatchPrefixOutcome,
     WriteOutcome,
 )
 
@@ -23,6 +27,22 @@
     ) -> WriteOutcome:
         """Write a key that is still at a revision, bound to a lease if one is named."""
 
+    def list_prefix(self, prefix: str) -> ListOutcome:
+        """Return the records below a prefix, and the revision to watch from."""
+
+    def watch_prefix(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> WatchPrefixOutcome:
+        """Wait for changes below a prefix after a revision."""
+
+    def commit(
+        self,
+        expected: dict[str, int],
+        puts: Sequence[Put] = (),
+        removed: Sequence[str] = (),
+    ) -> WriteOutcome:
+        """Make all changes, or none unless every key is at its expected revision."""
+
     def grant_lease(self, lifetime_s: float) -> LeaseOutcome:
         """Obtain a lease; keys bound to it vanish when it lapses."""
 
--- a/monsoontray/store/outcomes.py
+++ b/monsoontray/store/outcomes.py
@@ -71,7 +71,40 @@
     """Say that a watch ended without a change."""
 
 
+@dataclass(slots=True, frozen=True)
+class Put:
+    """Describe one key to write, bound to a lease if one is named."""
+
+    key: str
+    value: bytes
+    lease: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Listing:
+    """Hold the records below a prefix, and the revision to watch from."""
+
+    records: tuple[Record, ...]
+    revision: int
+
+
+@dataclass(slots=True, frozen=True)
+class Changes:
+    """Hold what changed below a prefix, and the revision to watch from."""
+
+    records: tuple[Record, ...]
+    removed: tuple[Record, ...]  # their values are empty
+    revision: int
+
+
+@dataclass(slots=True, frozen=True)
+class Compacted:
+    """Say that the history which a watch asked for is gone."""
+
+
 ReadOutcome = Record | NotDone
+ListOutcome = Listing | NotDone
 WriteOutcome = Done | Conflict | NotDone | Unknown
 LeaseOutcome = Lease | NotDone | Unknown
 WatchOutcome = Record | Unchanged | NotDone
+WatchPrefixOutcome = Changes | Compacted | NotDone
--- a/monsoontray/store/service.py
+++ b/monsoontray/store/service.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from monsoontray.kernel.kernel import Kernel, Registration
-from monsoontray.store.http import HttpStoreClient
+from monsoontray.platform.store import PlatformStoreClient
 
 if TYPE_CHECKING:
     from monsoontray.settings.settings import Settings
@@ -25,7 +25,7 @@
         """Return a new client for the calling task."""
         endpoints = self._settings.get_texts("store_endpoints")
         timeout_s = self._settings.get_seconds("store_timeout_ms")
-        return HttpStoreClient(endpoints, timeout_s, self._kernel.clock)
+        return PlatformStoreClient(endpoints, timeout_s, self._kernel.clock)
 
     def start(self) -> None:
         """Do nothing; clients connect when first used."""
--- a/tests/test_configuration/test_acceptance.py
+++ b/tests/test_configuration/test_acceptance.py
@@ -23,7 +23,7 @@
 from monsoontray.kernel.clock import SystemClock
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.kernel.mailbox import Reply
-from monsoontray.store.http import HttpStoreClient
+from monsoontray.platform.store import PlatformStoreClient
 from monsoontray.store.outcomes import (
     Cause,
     Conflict,
@@ -193,7 +193,7 @@
         fleet.post_json(fleet.store_address, "/control", faults)
         endpoint = f"http://{fleet.store_address}"
         racers = [
-            build_acceptance(HttpStoreClient([endpoint], 2.0, SystemClock()))
+            build_acceptance(PlatformStoreClient([endpoint], 2.0, SystemClock()))
             for _ in range(8)
         ]
         proposals = [build_proposal(0, f"operator-{i}") for i in range(8)]
--- a/tests/test_configuration/test_versions.py
+++ b/tests/test_configuration/test_versions.py
@@ -134,11 +134,13 @@
     start(fleet, 2)
     assert propose(fleet, 1) == "accepted"
     fleet.wait_for_version(1)
-    url = f"http://{fleet.store_address}/keys/config%2Fhead"
-    head = fleet.http.request("GET", url).json()
+    url = f"http://{fleet.store_address}"
+    head = fleet.http.request("GET", f"{url}/kv-key?key=config/head").json()
     bad = msgspec.json.encode({"number": 2, "digest": "0" * 64})
-    body = {"revision": head["revision"], "value": base64.b64encode(bad).decode()}
-    response = fleet.http.request("PUT", url, body=json.dumps(body).encode())
+    condition = {"key": "config/head", "revision": head["revision"]}
+    put = {"key": "config/head", "value": base64.b64encode(bad).decode()}
+    body = json.dumps({"expect": [condition], "puts": [put]}).encode()
+    response = fleet.http.request("POST", f"{url}/kv-txn", body=body)
     assert response.status == 200
 
     def is_told() -> bool:
--- a/tests/test_store/test_http.py
+++ b/tests/test_store/test_http.py
@@ -6,7 +6,7 @@
 
 from bench.fleet import Fleet
 from monsoontray.kernel.clock import SystemClock
-from monsoontray.store.http import HttpStoreClient
+from monsoontray.platform.store import PlatformStoreClient
 from monsoontray.store.outcomes import (
     ABSENT,
     Cause,
@@ -32,7 +32,7 @@
 @pytest.fixture
 def client(store):
     store.post_json(store.store_address, "/control", {})
-    client = HttpStoreClient(
+    client = PlatformStoreClient(
         [f"http://{store.store_address}"], TIMEOUT_S, SystemClock()
     )
     yield client
@@ -81,7 +81,7 @@
 
 def test_a_watch_returns_at_the_change(client, store):
     first = client.compare_and_swap("watched", ABSENT, b"1")
-    other = HttpStoreClient([f"http://{store.store_address}"], 2.0, SystemClock())
+    other = PlatformStoreClient([f"http://{store.store_address}"], 2.0, SystemClock())
     writer = threading.Timer(
         0.05, other.compare_and_swap, ("watched", first.revision, b"2")
     )
@@ -126,7 +126,7 @@
 
 def test_a_slow_store_times_out(store):
     set_faults(store, latency_ms=400)
-    client = HttpStoreClient([f"http://{store.store_address}"], 0.1, SystemClock())
+    client = PlatformStoreClient([f"http://{store.store_address}"], 0.1, SystemClock())
     assert client.get("slow") == NotDone(Cause.TIMEOUT)
     slow_write = client.compare_and_swap("slow", ABSENT, b"x")
     assert slow_write == Unknown(Cause.TIMEOUT)
@@ -137,7 +137,7 @@
     set_faults(store)
     unreachable = f"http://127.0.0.1:{store.reserve_port()}"
     endpoints = [unreachable, f"http://{store.store_address}"]
-    client = HttpStoreClient(endpoints, 0.5, SystemClock())
+    client = PlatformStoreClient(endpoints, 0.5, SystemClock())
     outcome = client.compare_and_swap("next", ABSENT, b"x")
     assert outcome == NotDone(Cause.UNREACHABLE)
     assert isinstance(client.compare_and_swap("next", ABSENT, b"x"), Done)
