--- /dev/null
+++ b/monsoontray/decisions/announcements.py
@@ -0,0 +1,105 @@
+"""Decide which announcement of the local backend server holds."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, replace
+
+from monsoontray.decisions.servers import ServerRecord, ServerState
+
+MAX_FORMER = 64  # incarnations that are remembered as gone
+
+
+@dataclass(slots=True, frozen=True)
+class Announcement:
+    """Hold what a backend server says of itself."""
+
+    server: str
+    service: str
+    version: str
+    slots: int
+    state: ServerState
+    cold_left_s: float
+    born: int  # milliseconds since the epoch at which this incarnation started
+    sequence: int  # rises with each announcement of an incarnation
+
+
+class Effect(enum.Enum):
+    """Say what an announcement has changed."""
+
+    NOTHING = "nothing"
+    REPEATED = "repeated"  # it holds, but other nodes need not hear of it
+    CHANGED = "changed"
+    STALE = "stale"  # it was sent before the one that holds
+
+
+class LocalServer:
+    """Hold the announcement in force of the server on this VM."""
+
+    __slots__ = ("_former", "_last", "cold_until")
+
+    def __init__(self) -> None:
+        self._last: Announcement | None = None
+        self.cold_until = 0.0
+        #: Incarnations that have left or were followed by another one.
+        self._former: dict[tuple[str, int], None] = {}
+
+    def hear(self, announcement: Announcement, now: float) -> Effect:
+        """Take an announcement unless a later one holds."""
+        name = (announcement.server, announcement.born)
+        last = self._last
+        if name in self._former:
+            return Effect.STALE
+        if last is not None:
+            if announcement.born < last.born:
+                return Effect.STALE
+            same = name == (last.server, last.born)
+            if same and announcement.sequence <= last.sequence:
+                return Effect.STALE
+            if same and last.state is ServerState.LEAVING:
+                # A server that leaves does not come back in this incarnation.
+                announcement = replace(announcement, state=ServerState.LEAVING)
+            if not same:
+                self._forget(last)
+        self._last = announcement
+        self.cold_until = now + announcement.cold_left_s
+        if last is None or _describe(last) != _describe(announcement):
+            return Effect.CHANGED
+        return Effect.REPEATED
+
+    def leave(self, server: str, born: int) -> bool:
+        """Take that a server has left; say whether it was the one that holds."""
+        last = self._last
+        if last is None or last.server != server or (born and born != last.born):
+            self._former[(server, born)] = None
+            return False
+        self._forget(last)
+        self._last = None
+        return True
+
+    def build_record(self) -> ServerRecord | None:
+        """Return the server as guards know it, if there is one."""
+        last = self._last
+        if last is None:
+            return None
+        return ServerRecord(
+            server=last.server,
+            service=last.service,
+            version=last.version,
+            resources=(),
+            slots=last.slots,
+            connections=last.slots,
+            state=last.state,
+            born=last.born,
+            cold_until=self.cold_until,
+        )
+
+    def _forget(self, last: Announcement) -> None:
+        self._former[(last.server, last.born)] = None
+        while len(self._former) > MAX_FORMER:
+            del self._former[next(iter(self._former))]
+
+
+def _describe(announcement: Announcement) -> Announcement:
+    """Return what other nodes know of an announcement."""
+    return replace(announcement, cold_left_s=0.0, sequence=0)
--- /dev/null
+++ b/monsoontray/decisions/directory.py
@@ -0,0 +1,127 @@
+"""Which nodes the store lists, and which of their servers may be called."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from monsoontray.decisions.servers import Endpoint, ServerState, ServerTable
+
+#: Time that a node which is no longer listed is remembered. Its record may have
+#: lapsed with its lease while it lives; callers use it only while it answers.
+UNLISTED_S = 30.0
+
+
+class ListedServer(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what nodes tell each other of a backend server."""
+
+    server: str
+    service: str
+    version: str
+    slots: int
+    leaving: bool
+    born: int
+
+
+class ListedNode(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what a node tells others of itself."""
+
+    node: str
+    region: str
+    zone: str
+    guard_address: str
+    incarnation: int  # nanoseconds since the epoch at which the process started
+    stopping: bool
+    server: ListedServer | None
+
+
+class NodeDirectory:
+    """Hold the nodes that are or were listed."""
+
+    __slots__ = ("_nodes", "_unlisted_until")
+
+    def __init__(self) -> None:
+        self._nodes: dict[str, ListedNode] = {}
+        self._unlisted_until: dict[str, float] = {}
+
+    def list_all(self, nodes: Iterable[ListedNode], now: float) -> None:
+        """Take every node that is listed now."""
+        listed = {node.node: node for node in nodes}
+        for name in self._nodes.keys() - listed.keys():
+            self.unlist(name, now)
+        for node in listed.values():
+            self.list(node)
+
+    def list(self, node: ListedNode) -> None:
+        """Take a node's record."""
+        known = self._nodes.get(node.node)
+        if known is not None and node.incarnation < known.incarnation:
+            return
+        self._nodes[node.node] = node
+        self._unlisted_until.pop(node.node, None)
+
+    def unlist(self, name: str, now: float) -> None:
+        """Take that a node's record is gone."""
+        node = self._nodes.get(name)
+        if node is None:
+            return
+        if node.stopping or node.server is None or node.server.leaving:
+            self._forget(name)
+        else:
+            self._unlisted_until.setdefault(name, now + UNLISTED_S)
+
+    def expire(self, now: float) -> bool:
+        """Forget nodes that were not listed for long; say whether there were any."""
+        due = [n for n, deadline in self._unlisted_until.items() if deadline <= now]
+        for name in due:
+            self._forget(name)
+        return bool(due)
+
+    def find_next_deadline(self) -> float | None:
+        """Return when the next node is forgotten."""
+        return min(self._unlisted_until.values(), default=None)
+
+    def is_listed(self, name: str) -> bool:
+        """Say whether the store lists a node."""
+        return name in self._nodes and name not in self._unlisted_until
+
+    def get_nodes(self) -> tuple[ListedNode, ...]:
+        """Return every node that is or was listed."""
+        return tuple(self._nodes.values())
+
+    def build_table(self) -> ServerTable:
+        """Return the servers that may be called."""
+        return ServerTable(
+            _build_endpoint(node, node.server, name in self._unlisted_until)
+            for name, node in self._nodes.items()
+            if node.server is not None
+            and not node.server.leaving
+            and not node.stopping
+        )
+
+    def _forget(self, name: str) -> None:
+        self._nodes.pop(name, None)
+        self._unlisted_until.pop(name, None)
+
+
+def get_state(server: ListedServer) -> ServerState:
+    """Return a listed server's state."""
+    return ServerState.LEAVING if server.leaving else ServerState.SERVING
+
+
+def _build_endpoint(
+    node: ListedNode, server: ListedServer, unlisted: bool
+) -> Endpoint:
+    return Endpoint(
+        server=server.server,
+        service=server.service,
+        version=server.version,
+        slots=max(1, server.slots),
+        node=node.node,
+        region=node.region,
+        zone=node.zone,
+        guard_address=node.guard_address,
+        resources=frozenset(),
+        unlisted=unlisted,
+    )
--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -2,13 +2,27 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from heapq import heappop, heappush
 from itertools import count
 from typing import Any
 
-from monsoontray.decisions.outcomes import Reason, Refusal, refuse_unrun
-from monsoontray.decisions.servers import ServerRecord, ServerState
+from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_unrun
+from monsoontray.decisions.servers import LoadReport, ServerRecord, ServerState
+
+COLD_WINDOW_S = 1.1  # a cold server's bound holds for each second; some to spare
+SERVICE_WEIGHT = 0.1  # of the latest call in the mean service time
+SERVICE_SHARE = 0.7  # of the mean service time that a call needs at least
+RECHECK_S = 0.1  # time after which waiting calls are looked at again
+
+
+@dataclass(slots=True, frozen=True)
+class ColdLimits:
+    """Bound what a cold server gets."""
+
+    factor: float = 1.0  # of the rate that it says it bears
+    slack: float = 0.0  # calls a second besides
 
 
 @dataclass(slots=True, frozen=True)
@@ -35,13 +49,34 @@
 class GuardState:
     """Hold the slots and the queue of one backend server."""
 
-    __slots__ = ("_order", "_queue", "in_use", "queue_limit", "record", "waiting")
-
-    def __init__(self, record: ServerRecord, queue_limit: int) -> None:
+    __slots__ = (
+        "_cold",
+        "_order",
+        "_queue",
+        "_starts",
+        "closed",
+        "confirmed",
+        "in_use",
+        "queue_limit",
+        "record",
+        "service_s",
+        "waiting",
+    )
+
+    def __init__(
+        self, record: ServerRecord, queue_limit: int, cold: ColdLimits | None = None
+    ) -> None:
         self.record = record
         self.queue_limit = queue_limit
         self.in_use = 0
         self.waiting: dict[Any, Waiting] = {}
+        self.service_s = 0.0  # mean time that the server needs for one call
+        self.closed: Reason | None = None  # why nothing at all is passed on
+        #: Whether the server announced itself since it was last in doubt. Until
+        #: then it is treated as cold, since it may have started anew.
+        self.confirmed = True
+        self._cold = cold or ColdLimits()
+        self._starts: deque[float] = deque()
         self._queue: list[tuple[int, float, int, Waiting]] = []
         self._order = count()
 
@@ -49,17 +84,36 @@
         """Return how many calls may run at once."""
         return min(self.record.slots, self.record.connections)
 
+    def is_cold(self, now: float) -> bool:
+        """Say whether the server bears little now."""
+        if not self.record.cold_per_s:
+            return False
+        return not self.confirmed or now < self.record.cold_until
+
+    def report_load(self, now: float) -> LoadReport:
+        """Return the load for other nodes to choose by."""
+        slots = self.get_capacity()
+        if self.is_cold(now):
+            slots = max(1, min(slots, int(self.record.cold_per_s * self.service_s)))
+        return LoadReport(self.in_use + len(self.waiting), slots, self.service_s)
+
     def request_slot(
-        self, call: Any, deadline: float, priority: int
+        self, call: Any, deadline: float, priority: int, now: float = 0.0
     ) -> Granted | Queued | Refusal:
         """Decide whether a call runs now, waits or is refused."""
         if self.record.state is ServerState.LEAVING:
             return refuse_unrun(Reason.SERVER_LEAVING)
+        if self.closed is not None:
+            return refuse_unrun(self.closed)
+        if not self._has_cold_room(now):
+            return Refusal(Reason.SERVER_COLD, Ran.NOT_RUN, COLD_WINDOW_S)
         if self.in_use < self.get_capacity():
-            self.in_use += 1
+            self._start(now)
             return Granted()
-        if len(self.waiting) >= self.queue_limit:
-            return refuse_unrun(Reason.NO_SLOT)
+        wait_s = self._estimate_wait(priority)
+        needed_s = wait_s + SERVICE_SHARE * self.service_s
+        if len(self.waiting) >= self.queue_limit or now + needed_s > deadline:
+            return Refusal(Reason.NO_SLOT, Ran.NOT_RUN, wait_s)
         waiting = Waiting(call, deadline)
         self.waiting[call] = waiting
         heappush(self._queue, (priority, deadline, next(self._order), waiting))
@@ -68,11 +122,15 @@
     def release_slot(self, now: float) -> Any | None:
         """Free a slot; return the waiting call that it passes to, if any."""
         self.in_use -= 1
-        if self.in_use >= self.get_capacity():
+        return self.grant_waiting(now)
+
+    def grant_waiting(self, now: float) -> Any | None:
+        """Return a waiting call that gets a free slot, if any."""
+        if self.in_use >= self.get_capacity() or not self._has_cold_room(now):
             return None
         call = self._take_waiting(now)
         if call is not None:
-            self.in_use += 1
+            self._start(now)
         return call
 
     def forget_waiting(self, call: Any) -> bool:
@@ -83,18 +141,46 @@
         waiting.gone = True
         return True
 
+    def note_service(self, seconds: float) -> None:
+        """Take the time that the server needed for a call."""
+        if not self.service_s:
+            self.service_s = seconds
+        self.service_s += (seconds - self.service_s) * SERVICE_WEIGHT
+
     def update_record(self, record: ServerRecord, now: float) -> list[Any]:
         """Take a changed announcement; return calls that get a slot by it."""
         self.record = record
         granted = []
-        while self.in_use < self.get_capacity():
-            call = self._take_waiting(now)
-            if call is None:
-                break
-            self.in_use += 1
+        while (call := self.grant_waiting(now)) is not None:
             granted.append(call)
         return granted
 
+    def _start(self, now: float) -> None:
+        self.in_use += 1
+        if self.record.cold_per_s:
+            self._starts.append(now)
+            self._drop_old_starts(now)
+
+    def _has_cold_room(self, now: float) -> bool:
+        if not self.is_cold(now):
+            return True
+        self._drop_old_starts(now)
+        limit = self.record.cold_per_s * self._cold.factor + self._cold.slack
+        return len(self._starts) + 1 <= limit
+
+    def _drop_old_starts(self, now: float) -> None:
+        while self._starts and self._starts[0] <= now - COLD_WINDOW_S:
+            self._starts.popleft()
+
+    def _estimate_wait(self, priority: int) -> float:
+        """Return how long a call would wait behind those that go before it."""
+        before = sum(
+            1
+            for rank, _, _, waiting in self._queue
+            if rank <= priority and not waiting.gone
+        )
+        return self.service_s * (before + 1) / max(1, self.get_capacity())
+
     def _take_waiting(self, now: float) -> Any | None:
         while self._queue:
             waiting = heappop(self._queue)[3]
--- a/monsoontray/decisions/outcomes.py
+++ b/monsoontray/decisions/outcomes.py
@@ -10,6 +10,7 @@
     """Say whether a back end may have run a call."""
 
     NOT_RUN = "not-run"
+    REJECTED = "rejected"  # not run, though a back end saw it and said so
     UNKNOWN = "unknown"
 
 
@@ -34,6 +35,16 @@
     DEADLINE_PASSED = "deadline-passed"
     CONNECTION_LOST = "connection-lost"
     BAD_RESPONSE = "bad-response"
+    NO_ROUTE = "no-route"
+    WRONG_SERVER = "wrong-server"
+    SERVER_SHED = "server-shed"
+    SERVER_COLD = "server-cold"
+    SERVER_FAILED = "server-failed"
+    SERVER_UNKNOWN = "server-unknown"
+    ZONE_EVACUATED = "zone-evacuated"
+    VERSION_BLOCKED = "version-blocked"
+    POISON = "poison"
+    BODY_TOO_LARGE = "body-too-large"
     TOO_MANY_CONNECTIONS = "too-many-connections"
 
 
@@ -43,6 +54,7 @@
 
     reason: Reason
     ran: Ran
+    retry_after_s: float = 0.0  # when to come back; 0 if that can't be told
 
 
 def refuse_unrun(reason: Reason) -> Refusal:
--- a/monsoontray/decisions/retries.py
+++ b/monsoontray/decisions/retries.py
@@ -4,20 +4,25 @@
 
 from dataclasses import dataclass
 
-from monsoontray.decisions.outcomes import Reason, Refusal, refuse_unknown, refuse_unrun
+from monsoontray.decisions.outcomes import Ran, Reason, Refusal
 
 _IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "PUT", "DELETE", "OPTIONS"))
 MIN_RETRY_S = 0.002  # time that must be left for another attempt
 
 
+def is_idempotent_method(method: str) -> bool:
+    """Say whether calls of a method may run more than once by its definition."""
+    return method in _IDEMPOTENT_METHODS
+
+
 @dataclass(slots=True, frozen=True)
 class Attempt:
     """Describe a failed attempt."""
 
-    method: str
+    idempotent: bool
     number: int  # 1 for the first attempt
     deadline: float
-    sent: bool  # a byte may have reached a back end
+    ran: Ran
     response_started: bool  # the caller has part of the response
     body_kept: bool  # the whole body sent so far can be sent again
 
@@ -42,10 +47,8 @@
     """Decide what follows a failed attempt."""
     if attempt.response_started:
         return Abandon(reason)
-    repeatable = not attempt.sent or attempt.method in _IDEMPOTENT_METHODS
+    repeatable = attempt.ran is not Ran.UNKNOWN or attempt.idempotent
     time_left = attempt.deadline - now >= MIN_RETRY_S
     if repeatable and attempt.body_kept and time_left and attempt.number < max_attempts:
         return Retry(reason)
-    if attempt.sent:
-        return refuse_unknown(reason)
-    return refuse_unrun(reason)
+    return Refusal(reason, attempt.ran)
--- a/monsoontray/decisions/servers.py
+++ b/monsoontray/decisions/servers.py
@@ -3,12 +3,22 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from random import Random
 
-PENALTY_S = 1.0  # time that a server is avoided after a failed connection
-CHOICES = 2  # servers compared for one call
+PENALTY_S = 0.5  # time that a server is avoided after a first failed connection
+MAX_PENALTY_FACTOR = 4  # the penalty doubles up to this factor
+REPORT_LIFETIME_S = 0.5  # a report is older than most calls take after this time
+DEFAULT_SERVICE_S = 0.1  # assumed of a server that reported nothing yet
+UTILIZATION_COST = 0.3  # servers slow down by about this share when nearly full
+FAILURE_WEIGHT = 0.1  # of the latest call in the share of failed calls
+FAILURE_COST = 4.0  # service times that a failed call costs: the wait and the retry
+NOISE = 0.1  # share by which estimates are varied at random
+ZONE_COST_S = 0.012  # handicap of another zone: its round trip and its price
+ZONE_COST_S_PER_BYTE = 1e-6  # handicap for each byte of the body sent there
+REGION_COST_S = 0.5  # handicap of another region: its round trips and its price
 
 
 class ServerState(enum.Enum):
@@ -29,6 +39,9 @@
     slots: int
     connections: int
     state: ServerState
+    born: int = 0  # milliseconds since the epoch at which this incarnation started
+    cold_until: float = 0.0  # monotonic seconds until which it bears little
+    cold_per_s: float = 0.0  # calls a second that it bears until then
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,6 +57,7 @@
     zone: str
     guard_address: str
     resources: frozenset[str]
+    unlisted: bool = False  # its node's record is gone; usable while it answers
 
 
 class ServerTable:
@@ -61,52 +75,135 @@
         """Return the servers of a service."""
         return self._by_service.get(service, ())
 
+    def count(self) -> int:
+        """Return how many servers there are."""
+        return sum(map(len, self._by_service.values()))
+
+    def get_names(self) -> frozenset[str]:
+        """Return the names of all servers."""
+        found = self._by_service.values()
+        return frozenset(each.server for servers in found for each in servers)
+
     def offers(self, service: str, resource: str) -> bool:
         """Say whether a server offers a resource, or the service if none is named."""
         found = self.find(service)
         return any(not resource or resource in each.resources for each in found)
 
 
+@dataclass(slots=True, frozen=True)
+class LoadReport:
+    """Tell a guard's load, as its responses carry it."""
+
+    calls: int  # running and waiting, from all nodes
+    slots: int  # calls that the server takes at once now
+    service_s: float  # mean time that the server needs for one call
+
+
+class ServerLoad:
+    """Hold what one node knows of the load of one server."""
+
+    __slots__ = (
+        "avoid_until",
+        "avoided",
+        "calls",
+        "calls_at_report",
+        "failing",
+        "heard_at",
+        "report",
+        "report_deadline",
+    )
+
+    def __init__(self) -> None:
+        self.calls = 0  # of this node
+        self.report: LoadReport | None = None
+        self.calls_at_report = 0
+        self.report_deadline = 0.0
+        self.failing = 0.0  # share of failed calls, the latest counting most
+        self.avoid_until = 0.0
+        self.avoided = 0  # times in a row that the server could not be reached
+        self.heard_at = -math.inf
+
+
 class LoadView:
-    """Remember what one node knows of the load of the servers it calls."""
+    """Remember what one node knows of the servers it calls."""
 
-    __slots__ = ("_avoid_until", "_calls")
+    __slots__ = ("_loads",)
 
     def __init__(self) -> None:
-        self._calls: dict[str, int] = {}
-        self._avoid_until: dict[str, float] = {}
+        self._loads: dict[str, ServerLoad] = {}
 
     def begin(self, server: str) -> None:
         """Count a call that goes to a server."""
-        self._calls[server] = self._calls.get(server, 0) + 1
+        self._find(server).calls += 1
 
     def end(self, server: str) -> None:
         """Count a call that has ended."""
-        left = self._calls[server] - 1
-        if left:
-            self._calls[server] = left
-        else:
-            del self._calls[server]
+        self._find(server).calls -= 1
+
+    def hear(self, server: str, report: LoadReport | None, now: float) -> None:
+        """Take an answer of a server's guard, with the load that it reports."""
+        load = self._find(server)
+        load.heard_at = now
+        load.avoid_until = 0.0
+        load.avoided = 0
+        if report is not None:
+            load.report = report
+            load.calls_at_report = load.calls
+            load.report_deadline = now + REPORT_LIFETIME_S
+
+    def note_outcome(self, server: str, failed: bool) -> None:
+        """Take whether a call that a server took has failed."""
+        load = self._find(server)
+        load.failing += ((1.0 if failed else 0.0) - load.failing) * FAILURE_WEIGHT
 
     def avoid(self, server: str, now: float) -> None:
         """Avoid a server for a while since it could not be reached."""
-        self._avoid_until[server] = now + PENALTY_S
+        load = self._find(server)
+        if load.avoid_until <= now:
+            load.avoided += 1
+        factor = min(2 ** (load.avoided - 1), MAX_PENALTY_FACTOR)
+        load.avoid_until = now + PENALTY_S * factor
 
     def is_avoided(self, server: str, now: float) -> bool:
-        """Say whether a server is avoided; forgets deadlines that have passed."""
-        if not self._avoid_until:
-            return False
-        deadline = self._avoid_until.get(server)
-        if deadline is None:
-            return False
-        if deadline <= now:
-            del self._avoid_until[server]
-            return False
-        return True
-
-    def get_load(self, endpoint: Endpoint) -> float:
-        """Return this node's calls on a server as a share of its slots."""
-        return self._calls.get(endpoint.server, 0) / endpoint.slots
+        """Say whether a server is avoided now."""
+        load = self._loads.get(server)
+        return load is not None and load.avoid_until > now
+
+    def get_heard_at(self, server: str) -> float:
+        """Return when a server's guard answered last."""
+        load = self._loads.get(server)
+        return -math.inf if load is None else load.heard_at
+
+    def forget_except(self, servers: Collection[str]) -> None:
+        """Forget the servers that are gone and have no call left."""
+        for server in list(self._loads):
+            if server not in servers and not self._loads[server].calls:
+                del self._loads[server]
+
+    def estimate(self, endpoint: Endpoint, now: float) -> float:
+        """Return the seconds that a further call would take at a server."""
+        load = self._loads.get(endpoint.server)
+        if load is None:
+            return DEFAULT_SERVICE_S * (1.0 + UTILIZATION_COST / endpoint.slots)
+        calls, slots, service_s = load.calls, endpoint.slots, DEFAULT_SERVICE_S
+        report = load.report
+        if report is not None:
+            service_s = report.service_s or DEFAULT_SERVICE_S
+            if load.report_deadline > now:
+                slots = max(1, report.slots)
+                since = load.calls - load.calls_at_report
+                calls = max(calls, report.calls + since)
+        utilization = (calls + 1) / slots
+        waiting = max(0.0, utilization - 1.0)
+        busy = UTILIZATION_COST * min(utilization, 1.0)
+        retried = load.failing * FAILURE_COST
+        return service_s * (1.0 + busy + waiting + retried)
+
+    def _find(self, server: str) -> ServerLoad:
+        load = self._loads.get(server)
+        if load is None:
+            load = self._loads[server] = ServerLoad()
+        return load
 
 
 @dataclass(slots=True, frozen=True)
@@ -126,8 +223,9 @@
     loads: LoadView,
     now: float,
     random: Random,
+    body_bytes: int = 0,
 ) -> Endpoint | None:
-    """Choose the least loaded of a few servers, the nearest ones first."""
+    """Choose the server that would answer soonest, distance included."""
     usable = [
         endpoint
         for endpoint in candidates
@@ -139,24 +237,20 @@
     preferred = [
         endpoint for endpoint in usable if not loads.is_avoided(endpoint.server, now)
     ]
-    nearest = _keep_nearest(preferred or usable, place, loads)
-    if len(nearest) > CHOICES:
-        nearest = random.sample(nearest, CHOICES)
-    elif len(nearest) > 1:
-        random.shuffle(nearest)
-    return min(nearest, key=loads.get_load)
-
-
-def _keep_nearest(
-    endpoints: list[Endpoint], place: Place, loads: LoadView
-) -> list[Endpoint]:
-    """Return the nearest group that this node has not filled by itself."""
-    if len(endpoints) == 1:
-        return endpoints
-    local = [e for e in endpoints if e.zone == place.zone and e.region == place.region]
-    if any(loads.get_load(endpoint) < 1.0 for endpoint in local):
-        return local
-    regional = [e for e in endpoints if e.region == place.region]
-    if any(loads.get_load(endpoint) < 1.0 for endpoint in regional):
-        return regional
-    return endpoints
+
+    def score(endpoint: Endpoint) -> float:
+        distance_s = _find_distance(endpoint, place, body_bytes)
+        # Noise keeps nodes that know the same from choosing the same server.
+        noise = 1.0 + NOISE * random.random()
+        return loads.estimate(endpoint, now) * noise + distance_s
+
+    return min(preferred or usable, key=score)
+
+
+def _find_distance(endpoint: Endpoint, place: Place, body_bytes: int) -> float:
+    """Return the seconds by which a server is considered farther than a near one."""
+    if endpoint.region != place.region:
+        return REGION_COST_S
+    if endpoint.zone != place.zone:
+        return ZONE_COST_S + body_bytes * ZONE_COST_S_PER_BYTE
+    return 0.0
--- /dev/null
+++ b/monsoontray/discovery/messages.py
@@ -0,0 +1,60 @@
+"""Messages about what the store holds and what the local server announces."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from monsoontray.decisions.announcements import Announcement
+from monsoontray.kernel.mailbox import Reply
+from monsoontray.store.outcomes import Record
+
+
+@dataclass(slots=True, frozen=True)
+class StoreListed:
+    """Tell everything that the store holds below a prefix."""
+
+    records: tuple[Record, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class StoreChanged:
+    """Tell what changed in the store."""
+
+    records: tuple[Record, ...]
+    removed: tuple[Record, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class ServerAnnounced:
+    """Take what the local server says of itself; answers when it is in force."""
+
+    announcement: Announcement
+    reply: Reply
+
+
+@dataclass(slots=True, frozen=True)
+class ServerLeft:
+    """Take that a local server has left; answers when it is in force."""
+
+    server: str
+    born: int  # 0 where it was not told
+    reply: Reply
+
+
+@dataclass(slots=True, frozen=True)
+class PublishNode:
+    """Write this node's record to the store."""
+
+    value: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class WithdrawNode:
+    """Remove this node's record from the store."""
+
+
+@dataclass(slots=True, frozen=True)
+class DescribeDiscovery:
+    """Ask for what is known of the nodes."""
+
+    reply: Reply
--- /dev/null
+++ b/monsoontray/discovery/publisher.py
@@ -0,0 +1,129 @@
+"""The task that keeps this node's record in the store."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+
+from monsoontray.decisions.backoff import compute_retry_time
+from monsoontray.discovery.messages import PublishNode, WithdrawNode
+from monsoontray.kernel.kernel import DeathPolicy, Kernel, Registration
+from monsoontray.kernel.task import Task
+from monsoontray.store.outcomes import Cause, Done, Lease, NotDone, Put
+
+if TYPE_CHECKING:
+    from monsoontray.settings.settings import Settings
+    from monsoontray.store.client import StoreClient
+
+NAME = "publisher"
+PREFIX = "nodes/"
+RENEWALS = 3  # of a lease within its lifetime
+FIRST_RETRY_S = 0.1  # pause after a first failed call, doubled up to the last
+LAST_RETRY_S = 0.8
+
+
+class Publisher(Task):
+    """Own the lease of this node's record and the client that renews it."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(NAME, kernel, handle_message)
+        settings: Settings = kernel.find("settings").settings
+        node = settings.get_text("node")
+        self._key = PREFIX + node
+        self._client: StoreClient = kernel.find("store").open_client()
+        self._lifetime_s = settings.get_seconds("watch_lease_ms")
+        self._random = Random(node)
+        self._failures = 0
+        self._lease: Lease | None = None
+        self._value = b""
+        self._is_written = False
+        self._due = self.clock.now()
+
+    def find_next_deadline(self) -> float | None:
+        """Return when the record is written or the lease renewed next."""
+        return self._due
+
+    def wake(self) -> None:
+        """Hold the lease and write the record."""
+        is_held = self._hold_lease()
+        if is_held and (not self._value or self._is_written or self._write()):
+            self._failures = 0
+            self._due = self.clock.now() + self._lifetime_s / RENEWALS
+            return
+        self._due = compute_retry_time(
+            self.clock.now(), self._failures, FIRST_RETRY_S, LAST_RETRY_S, self._random
+        )
+        self._failures += 1
+
+    def publish(self, value: bytes) -> None:
+        """Write a record, also when it is the same as before."""
+        self._value = value
+        self._is_written = False
+        self._due = self.clock.now()
+
+    def withdraw(self) -> None:
+        """Remove the record with its lease."""
+        self._value = b""
+        if self._lease is not None:
+            self._client.end_lease(self._lease.lease)
+            self._lease = None
+
+    def close(self) -> None:
+        """Give the lease back and release the client."""
+        self.withdraw()
+        self._client.close()
+
+    def _hold_lease(self) -> bool:
+        now = self.clock.now()
+        lease = self._lease
+        if lease is None:
+            outcome = self._client.grant_lease(self._lifetime_s)
+        elif lease.deadline - now < self._lifetime_s * (1.0 - 0.5 / RENEWALS):
+            outcome = self._client.renew_lease(lease.lease, self._lifetime_s)
+        else:
+            return True
+        if isinstance(outcome, Lease):
+            if lease is None:
+                self._is_written = False
+            self._lease = outcome
+            return True
+        if outcome == NotDone(Cause.LEASE_LAPSED):
+            logger.warning("lease of the node's record has lapsed")
+            self._lease = None
+            self._is_written = False
+        return False
+
+    def _write(self) -> bool:
+        assert self._lease is not None
+        put = Put(self._key, self._value, self._lease.lease)
+        outcome = self._client.commit({}, (put,))
+        if outcome == NotDone(Cause.LEASE_LAPSED):
+            self._lease = None
+        self._is_written = isinstance(outcome, Done)
+        return self._is_written
+
+
+@singledispatch
+def handle_message(message: Any, publisher: Publisher) -> None:
+    """Act on a message."""
+    raise TypeError(f"no such message: {message!r}")
+
+
+@handle_message.register(PublishNode)
+def _(message: PublishNode, publisher: Publisher) -> None:
+    publisher.publish(message.value)
+
+
+@handle_message.register(WithdrawNode)
+def _(message: WithdrawNode, publisher: Publisher) -> None:
+    publisher.withdraw()
+
+
+def setup(kernel: Kernel) -> None:
+    """Register the service."""
+    requires = ("settings", "store")
+    registration = Registration(NAME, requires, Publisher, DeathPolicy.RESTART)
+    kernel.register(registration)
--- /dev/null
+++ b/monsoontray/discovery/service.py
@@ -0,0 +1,223 @@
+"""The task that owns which nodes exist and what the local server announced."""
+
+from __future__ import annotations
+
+import time
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from loguru import logger
+
+from monsoontray.decisions.announcements import Effect, LocalServer
+from monsoontray.decisions.directory import ListedNode, ListedServer, NodeDirectory
+from monsoontray.decisions.servers import ServerState
+from monsoontray.discovery.messages import (
+    DescribeDiscovery,
+    PublishNode,
+    ServerAnnounced,
+    ServerLeft,
+    StoreChanged,
+    StoreListed,
+)
+from monsoontray.discovery.publisher import PREFIX
+from monsoontray.forwarding.messages import (
+    GuardServers,
+    NodeLeaves,
+    ServerDoubted,
+    UseServers,
+)
+from monsoontray.forwarding.messages import LocalServer as GuardedServer
+from monsoontray.kernel.kernel import Kernel, Registration
+from monsoontray.kernel.task import Task
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from monsoontray.settings.settings import Settings
+    from monsoontray.store.outcomes import Record
+
+NAME = "membership"
+
+
+class Discovery(Task):
+    """Own the directory of nodes and the local server's announcement."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(NAME, kernel, handle_message)
+        settings: Settings = kernel.find("settings").settings
+        self._settings = settings
+        self._node = settings.get_text("node")
+        self._incarnation = time.time_ns()
+        self._directory = NodeDirectory()
+        self._local = LocalServer()
+        self._stopping = False
+
+    def open(self) -> None:
+        """Make the node known."""
+        self._publish()
+
+    def find_next_deadline(self) -> float | None:
+        """Return when a node that is no longer listed is forgotten."""
+        return self._directory.find_next_deadline()
+
+    def wake(self) -> None:
+        """Forget nodes that were not listed for long."""
+        if self._directory.expire(self.clock.now()):
+            self._tell_servers()
+
+    def list_all(self, records: Sequence[Record]) -> None:
+        """Take every record that the store holds."""
+        nodes = [node for node in map(_read_node, records) if node is not None]
+        own = [node for node in nodes if node.node == self._node]
+        others = [node for node in nodes if node.node != self._node]
+        self._directory.list_all([*others, self._describe()], self.clock.now())
+        if own != [self._describe()]:
+            self._publish()
+        self._tell_servers()
+
+    def take_changes(self, message: StoreChanged) -> None:
+        """Take records that were written or removed."""
+        now = self.clock.now()
+        for record in message.records:
+            node = _read_node(record)
+            if node is None or node.node == self._node:
+                continue
+            self._directory.list(node)
+        for record in message.removed:
+            name = record.key.removeprefix(PREFIX)
+            if name == self._node:
+                logger.warning("own record was removed from the store")
+                self._publish()
+            else:
+                logger.bind(node=name).info("node is no longer listed")
+                self._directory.unlist(name, now)
+        self._tell_servers()
+
+    def hear_server(self, message: ServerAnnounced) -> None:
+        """Take what the local server says of itself."""
+        announcement = message.announcement
+        effect = self._local.hear(announcement, self.clock.now())
+        if effect is not Effect.STALE:
+            self._tell_guard()
+        if effect is Effect.CHANGED:
+            logger.bind(
+                server=announcement.server,
+                born=announcement.born,
+                state=announcement.state.value,
+                server_version=announcement.version,
+                cold_left_s=announcement.cold_left_s,
+            ).info("local server changed")
+            self._publish()
+            self._tell_servers()
+        message.reply.put(effect)
+
+    def lose_server(self, message: ServerLeft) -> None:
+        """Take that the local server has left."""
+        if self._local.leave(message.server, message.born):
+            logger.bind(server=message.server).info("local server left")
+            self._tell_guard()
+            self._publish()
+            self._tell_servers()
+        message.reply.put(Effect.CHANGED)
+
+    def leave(self) -> None:
+        """Tell others that this node stops."""
+        self._stopping = True
+        self._publish()
+
+    def _describe(self) -> ListedNode:
+        record = self._local.build_record()
+        server = None
+        if record is not None:
+            leaving = record.state is ServerState.LEAVING
+            server = ListedServer(
+                record.server,
+                record.service,
+                record.version,
+                record.slots,
+                leaving,
+                record.born,
+            )
+        return ListedNode(
+            node=self._node,
+            region=self._settings.get_text("region"),
+            zone=self._settings.get_text("zone"),
+            guard_address=self._settings.get_text("guard_address"),
+            incarnation=self._incarnation,
+            stopping=self._stopping,
+            server=server,
+        )
+
+    def _publish(self) -> None:
+        node = self._describe()
+        self._directory.list(node)
+        self.kernel.post("publisher", PublishNode(msgspec.json.encode(node)))
+
+    def _tell_guard(self) -> None:
+        record = self._local.build_record()
+        local: tuple[GuardedServer, ...] = ()
+        if record is not None:
+            address = self._settings.get_address("server_address")
+            local = (GuardedServer(record, address),)
+        self.kernel.post("forwarding", GuardServers(local))
+
+    def _tell_servers(self) -> None:
+        self.kernel.post("forwarding", UseServers(self._directory.build_table()))
+
+
+def _read_node(record: Record) -> ListedNode | None:
+    try:
+        return msgspec.json.decode(record.value, type=ListedNode)
+    except msgspec.DecodeError as error:
+        logger.bind(key=record.key).warning("record of a node can't be read: {}", error)
+        return None
+
+
+@singledispatch
+def handle_message(message: Any, discovery: Discovery) -> None:
+    """Act on a message."""
+    raise TypeError(f"no such message: {message!r}")
+
+
+@handle_message.register(StoreListed)
+def _(message: StoreListed, discovery: Discovery) -> None:
+    discovery.list_all(message.records)
+
+
+@handle_message.register(StoreChanged)
+def _(message: StoreChanged, discovery: Discovery) -> None:
+    discovery.take_changes(message)
+
+
+@handle_message.register(ServerAnnounced)
+def _(message: ServerAnnounced, discovery: Discovery) -> None:
+    discovery.hear_server(message)
+
+
+@handle_message.register(ServerLeft)
+def _(message: ServerLeft, discovery: Discovery) -> None:
+    discovery.lose_server(message)
+
+
+@handle_message.register(ServerDoubted)
+def _(message: ServerDoubted, discovery: Discovery) -> None:
+    logger.bind(server=message.server, reason=message.reason).warning(
+        "local server is in doubt until it announces itself again"
+    )
+
+
+@handle_message.register(NodeLeaves)
+def _(message: NodeLeaves, discovery: Discovery) -> None:
+    discovery.leave()
+
+
+@handle_message.register(DescribeDiscovery)
+def _(message: DescribeDiscovery, discovery: Discovery) -> None:
+    message.reply.put(discovery._directory.get_nodes())
+
+
+def setup(kernel: Kernel) -> None:
+    """Register the service."""
+    requires = ("settings", "publisher")
+    kernel.register(Registration(NAME, requires, Discovery))
--- /dev/null
+++ b/monsoontray/forwarding/attempts.py
@@ -0,0 +1,125 @@
+"""Begin an attempt of a call: choose a server, or ask for a local slot."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+from monsoontray.decisions.guard import Granted, Queued
+from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_unrun
+from monsoontray.decisions.servers import Endpoint, choose_server
+from monsoontray.forwarding.heads import encode_line
+from monsoontray.forwarding.routes import (
+    CUSTOMER_HEADER,
+    IDEMPOTENT_HEADER,
+    PRIORITY_HEADER,
+    SERVER_HEADER,
+    EntryRoute,
+    GuardRoute,
+    Hop,
+)
+from monsoontray.settings.settings import parse_address
+
+if TYPE_CHECKING:
+    from monsoontray.decisions.guard import GuardState
+    from monsoontray.forwarding.call import Call
+
+NO_SERVER_RETRY_S = 0.1  # time after which a server may have been announced
+
+
+@singledispatch
+def start_attempt(route: Any, call: Call) -> None:
+    """Begin an attempt along a route."""
+    raise TypeError(f"no such route: {route!r}")
+
+
+@start_attempt.register(EntryRoute)
+def _(route: EntryRoute, call: Call) -> None:
+    forwarder = call.forwarder
+    endpoint = choose_server(
+        forwarder.find_candidates(route.service),
+        route.resource,
+        forwarder.place,
+        call.tried,
+        forwarder.loads,
+        forwarder.now,
+        forwarder.random,
+        call.head.length,
+    )
+    if endpoint is None:
+        if call.refusal is not None:
+            call.refuse(call.refusal)
+        else:
+            call.refuse(Refusal(Reason.NO_SERVER, Ran.NOT_RUN, NO_SERVER_RETRY_S))
+        return
+    call.server = endpoint.server
+    forwarder.loads.begin(endpoint.server)
+    if endpoint.node == forwarder.place.node:
+        start_local(call, endpoint.server)
+    else:
+        call.send_to(_build_guard_hop(endpoint, route))
+
+
+@start_attempt.register(GuardRoute)
+def _(route: GuardRoute, call: Call) -> None:
+    start_local(call, route.server)
+
+
+def start_local(call: Call, server: str) -> None:
+    """Ask for a slot of the local backend server."""
+    guard = call.forwarder.guards.get(server)
+    if guard is None:
+        call.fail_attempt(refuse_unrun(Reason.NO_SERVER))
+        return
+    route = call.route
+    outcome = guard.request_slot(call, route.deadline, route.priority, call.now)
+    follow_slot(outcome, call, guard)
+
+
+@singledispatch
+def follow_slot(outcome: Any, call: Call, guard: GuardState) -> None:
+    """Act on the response to a request for a slot."""
+    raise TypeError(f"no such outcome: {outcome!r}")
+
+
+@follow_slot.register(Granted)
+def _(outcome: Granted, call: Call, guard: GuardState) -> None:
+    use_slot(call, guard)
+
+
+@follow_slot.register(Queued)
+def _(outcome: Queued, call: Call, guard: GuardState) -> None:
+    call.forwarder.recheck_waiting(guard)
+
+
+@follow_slot.register(Refusal)
+def _(outcome: Refusal, call: Call, guard: GuardState) -> None:
+    call.fail_attempt(outcome)
+
+
+def use_slot(call: Call, guard: GuardState) -> None:
+    """Send a call that holds a slot to the local backend server."""
+    call.hold_slot(guard)
+    forwarder = call.forwarder
+    server = guard.record.server
+    address = forwarder.server_addresses.get(server)
+    if address is None:
+        call.fail_attempt(refuse_unrun(Reason.SERVER_LEAVING))
+        return
+    expected = forwarder.vocabulary.expected_server
+    if expected:
+        line = encode_line(expected, server.encode("latin-1"))
+    else:
+        line = encode_line(CUSTOMER_HEADER, call.route.customer.encode("latin-1"))
+    call.send_to(Hop(address, False, (line,)))
+
+
+def _build_guard_hop(endpoint: Endpoint, route: EntryRoute) -> Hop:
+    lines = [
+        encode_line(SERVER_HEADER, endpoint.server.encode("latin-1")),
+        encode_line(CUSTOMER_HEADER, route.customer.encode("latin-1")),
+        encode_line(PRIORITY_HEADER, b"%d" % route.priority),
+    ]
+    if route.idempotent:
+        lines.append(encode_line(IDEMPOTENT_HEADER, b"1"))
+    return Hop(parse_address(endpoint.guard_address), True, tuple(lines))
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from monsoontray.decisions.outcomes import (
     Ran,
@@ -12,6 +12,7 @@
     refuse_unrun,
 )
 from monsoontray.decisions.retries import Abandon, Attempt, Retry, decide_after_failure
+from monsoontray.forwarding.attempts import start_attempt
 from monsoontray.forwarding.heads import (
     LAST_CHUNK,
     Framing,
@@ -21,46 +22,56 @@
     encode_line,
     encode_request,
 )
-from monsoontray.forwarding.parsing import is_framed
-from monsoontray.forwarding.refusals import CALL_ID_HEADER, read_refusal
-from monsoontray.forwarding.routes import (
-    Hop,
-    find_customer,
-    find_max_attempts,
-    start_attempt,
+from monsoontray.forwarding.refusals import read_refusal
+from monsoontray.forwarding.responses import (
+    Foreign,
+    HeldResponse,
+    encode_load,
+    judge_response,
+    read_load,
 )
+from monsoontray.forwarding.routes import TIMEOUT_HEADER, EntryRoute, GuardRoute, Hop
 
 if TYPE_CHECKING:
     from monsoontray.decisions.guard import GuardState
-    from monsoontray.forwarding.caller import CallerConnection
+    from monsoontray.forwarding.caller import Exchange
     from monsoontray.forwarding.forwarder import Forwarder
     from monsoontray.forwarding.upstream import UpstreamConnection
 
+MAX_OFFERS = 4  # guards that a call is offered to while none has taken it
+FIRST_FAILURE_STATUS = 500
+#: How sure it is that a call ran, in rising order.
+_CERTAINTY = {Ran.NOT_RUN: 0, Ran.REJECTED: 1, Ran.UNKNOWN: 2}
+
 
 class Call:
     """Join a caller's request to the attempts made for it."""
 
     __slots__ = (
         "_body_kept",
+        "_guard_refusal",
+        "_held",
         "_hop",
         "_id_line",
         "_kept",
         "_kept_bytes",
-        "_refusal",
+        "_offers",
+        "_ran",
+        "_sends",
         "_sent",
+        "_slot_since",
         "_timer",
-        "attempt",
         "call_id",
-        "caller",
-        "deadline",
+        "exchange",
         "forwarder",
         "guard",
         "head",
-        "last_reason",
+        "refusal",
         "request_ended",
         "response_started",
         "route",
         "server",
+        "started",
         "tried",
         "upstream",
     )
@@ -68,48 +79,64 @@
     def __init__(
         self,
         forwarder: Forwarder,
-        caller: CallerConnection,
+        exchange: Exchange,
         head: RequestHead,
-        route: Any,
+        route: EntryRoute | GuardRoute,
         call_id: str,
-        deadline: float,
     ) -> None:
         self.forwarder = forwarder
-        self.caller = caller
+        self.exchange = exchange
         self.head = head
         self.route = route
         self.call_id = call_id
-        self.deadline = deadline
-        self.attempt = 0
+        self.started = forwarder.now
         self.tried: list[str] = []
         self.server = ""  # the server of the current attempt
         self.guard: GuardState | None = None  # where this call holds a slot
         self.upstream: UpstreamConnection | None = None
         self.request_ended = False
         self.response_started = False
-        self.last_reason = Reason.NO_SERVER
-        self._id_line = encode_line(CALL_ID_HEADER, call_id.encode("latin-1"))
-        self._refusal: Refusal | None = None  # stated by the guard, still arriving
+        self.refusal: Refusal | None = None  # of the latest failed attempt
+        names_calls = forwarder.vocabulary.callers_name_calls
+        id_header = forwarder.vocabulary.call_id
+        id_line = encode_line(id_header, call_id.encode("latin-1"))
+        self._id_line = b"" if names_calls else id_line
+        self._offers = 0  # attempts
+        self._sends = 0  # attempts that a back end has seen or may have seen
+        self._ran = Ran.NOT_RUN  # the worst that any attempt has left behind
+        self._guard_refusal: Refusal | None = None  # stated by the guard, arriving
+        self._held: HeldResponse | None = None
         self._hop: Hop | None = None
         self._kept: list[bytes] = []
         self._kept_bytes = 0
         self._body_kept = True
         self._sent = False
-        self._timer = forwarder.timers.add(deadline, self._pass_deadline)
+        self._slot_since = 0.0
+        self._timer = forwarder.timers.add(route.deadline, self._pass_deadline)
+
+    @property
+    def now(self) -> float:
+        """Return the time of the current event."""
+        return self.forwarder.now
 
     def start(self) -> None:
         """Make the next attempt."""
-        self.attempt += 1
+        self._offers += 1
         self._sent = False
         start_attempt(self.route, self)
 
+    def hold_slot(self, guard: GuardState) -> None:
+        """Note that the call holds a slot of a local backend server."""
+        self.guard = guard
+        self._slot_since = self.now
+
     def send_to(self, hop: Hop) -> None:
         """Send the request over a connection to a guard or a back end."""
         self._hop = hop
         try:
             upstream = self.forwarder.pool.take(hop.address)
         except OSError:
-            self.fail_attempt(Reason.UNREACHABLE)
+            self.fail_attempt(refuse_unrun(Reason.UNREACHABLE))
             return
         self.upstream = upstream
         upstream.begin_call(self, self.head.method)
@@ -122,12 +149,14 @@
         assert upstream is not None
         assert hop is not None
         self._sent = True
-        remaining_ms = max(1, int((self.deadline - self.forwarder.now) * 1000))
+        remaining_ms = max(1, int((self.route.deadline - self.now) * 1000))
+        vocabulary = self.forwarder.vocabulary
+        timeout = TIMEOUT_HEADER if hop.is_guard else vocabulary.timeout_ms
         lines = [
             *head.lines,
             *hop.lines,
             self._id_line,
-            b"monsoontray-timeout-ms: %d\r\n" % remaining_ms,
+            b"%b: %d\r\n" % (timeout, remaining_ms),
         ]
         upstream.write(
             encode_request(head.method, head.target, lines, head.framing, head.length)
@@ -137,8 +166,8 @@
         if self.request_ended and head.framing is Framing.CHUNKED:
             upstream.write(LAST_CHUNK)
         if not self.request_ended and head.expects_continue:
-            self.caller.ask_to_continue()
-        self.caller.resume_reading()
+            self.exchange.ask_to_continue()
+        self.exchange.resume_reading()
 
     def on_request_body(self, part: bytes) -> None:
         """Take a part of the request's body."""
@@ -146,11 +175,11 @@
         upstream = self.upstream
         if upstream is None or not upstream.connected:
             if self._kept_bytes >= self.forwarder.limits.replay_bytes:
-                self.caller.pause_reading()
+                self.exchange.pause_reading()
             return
         self._write_body(part)
         if upstream.out_bytes > self.forwarder.limits.stream_bytes:
-            self.caller.pause_reading()
+            self.exchange.pause_reading()
 
     def on_request_end(self) -> None:
         """Take the end of the request."""
@@ -164,7 +193,7 @@
     def on_upstream_sent(self, left: int) -> None:
         """Read on once the server has taken enough of the request."""
         if left <= self.forwarder.limits.stream_bytes // 2 and not self.request_ended:
-            self.caller.resume_reading()
+            self.exchange.resume_reading()
 
     def on_caller_sent(self, left: int) -> None:
         """Read on once the caller has taken enough of the response."""
@@ -174,59 +203,113 @@
         ):
             self.upstream.resume_reading()
 
-    def on_response_head(self, head: ResponseHead) -> None:
-        """Pass on the head of a response, or act on a guard's refusal."""
+    def on_response_head(self, head: ResponseHead) -> bool:
+        """Take the head of a response; say whether it belongs to this call."""
         assert self._hop is not None
         if self._hop.is_guard:
-            self._refusal = read_refusal(head)
-            if self._refusal is not None:
-                return
-        if not is_framed(head) or not self._is_own_response(head):
+            self.forwarder.loads.hear(self.server, read_load(head), self.now)
+            self._guard_refusal = read_refusal(head)
+            if self._guard_refusal is not None:
+                return True
+        vocabulary = self.forwarder.vocabulary
+        verdict = judge_response(head, self.call_id, vocabulary)
+        if isinstance(verdict, Foreign):
+            return False
+        if isinstance(verdict, Refusal):
             self._drop_upstream()
-            self.fail_attempt(Reason.BAD_RESPONSE)
-            return
-        self.response_started = True
-        head.lines.append(self._id_line)
-        self.caller.begin_response(head, head.lines)
+            self.fail_attempt(verdict)
+            return True
+        if self._id_line:
+            head.lines.append(self._id_line)
+        if vocabulary.hold_bytes and head.length <= vocabulary.hold_bytes:
+            self._held = HeldResponse(head)
+        else:
+            self._begin_response(head)
+        return True
 
     def on_response_body(self, part: bytes) -> None:
-        """Pass on a part of the response."""
-        if self._refusal is not None:
+        """Pass on a part of the response, or hold it."""
+        if self._guard_refusal is not None:
             return
-        self.caller.write_response_body(part)
-        if self.caller.out_bytes > self.forwarder.limits.stream_bytes:
+        held = self._held
+        if held is not None:
+            held.add(part)
+            if held.size > self.forwarder.vocabulary.hold_bytes:
+                self._release_held(held)
+        else:
+            self.exchange.write_response_body(part)
+        if self.exchange.count_unsent() > self.forwarder.limits.stream_bytes:
             assert self.upstream is not None
             self.upstream.pause_reading()
 
     def on_response_end(self) -> None:
-        """Complete the response."""
+        """Complete the response, or replace one that failed."""
         self.upstream = None
-        if self._refusal is not None:
-            self._follow_refusal(self._refusal)
+        if self._guard_refusal is not None:
+            self._follow_guard_refusal(self._guard_refusal)
             return
+        held = self._held
+        if held is not None:
+            held.complete()
+            if held.head.status >= FIRST_FAILURE_STATUS and self._try_replace():
+                return
+            self._release_held(held)
+        guard = self.guard
+        if guard is not None:
+            guard.note_service(self.now - self._slot_since)
+        self._note_outcome(self._is_failure(held))
         self._end()
-        self.forwarder.count_response()
-        self.caller.end_response()
+        self.forwarder.count_response(self)
+        self.exchange.end_response()
 
     def on_upstream_lost(self, reason: Reason) -> None:
         """Act on the loss of the connection that carries the call."""
         self.upstream = None
-        if reason is Reason.UNREACHABLE:
-            self.forwarder.loads.avoid(self.server, self.forwarder.now)
-        if self._refusal is not None:
-            self._follow_refusal(self._refusal)
+        if self.guard is not None:
+            self.forwarder.doubt_server(self.guard, reason)
+        elif reason is Reason.UNREACHABLE:
+            self.forwarder.loads.avoid(self.server, self.now)
+        if self._guard_refusal is not None:
+            self._follow_guard_refusal(self._guard_refusal)
             return
-        self.fail_attempt(reason)
+        self._note_outcome(True)
+        self.fail_attempt(self.qualify(reason))
 
-    def fail_attempt(self, reason: Reason) -> None:
+    def fail_attempt(self, refusal: Refusal) -> None:
         """Give up an attempt: try again, refuse or cut."""
-        self._finish_attempt(reason, self._sent)
+        self._held = None
+        self._leave_attempt(refusal)
+        has_run = refusal.ran is not Ran.NOT_RUN
+        max_attempts = self.route.max_attempts
+        if not has_run and isinstance(self.route, EntryRoute):
+            max_attempts = max(max_attempts, MAX_OFFERS)
+        attempt = Attempt(
+            self.route.idempotent,
+            self._sends if has_run else self._offers,
+            self.route.deadline,
+            refusal.ran,
+            self.response_started,
+            self._body_kept,
+        )
+        outcome = decide_after_failure(attempt, refusal.reason, self.now, max_attempts)
+        if isinstance(outcome, Retry):
+            if not has_run or self._try_budget():
+                self.forwarder.count_retry(self, outcome)
+                self.start()
+                return
+            outcome = refusal
+        if isinstance(outcome, Abandon):
+            self._end()
+            self.forwarder.count_cut(self, outcome)
+            self.exchange.cut()
+        else:
+            self.refuse(refusal)
 
     def cancel(self) -> None:
         """Stop working for a caller that has gone."""
         self._drop_upstream()
         self._end()
-        self.forwarder.count_cancelled()
+        self.forwarder.count_cancelled(self)
 
     def qualify(self, reason: Reason) -> Refusal:
         """Return a refusal that says truly whether the call may have run."""
@@ -235,12 +318,13 @@
         return refuse_unrun(reason)
 
     def refuse(self, refusal: Refusal) -> None:
-        """End the call by a refusal."""
+        """End the call by a refusal, no surer than what its attempts left behind."""
+        if _CERTAINTY[self._ran] > _CERTAINTY[refusal.ran]:
+            refusal = Refusal(refusal.reason, self._ran, refusal.retry_after_s)
         self._drop_upstream()
         self._end()
-        customer = find_customer(self.route)
-        self.forwarder.log_refusal(refusal, self.call_id, customer, "")
-        self.caller.refuse(refusal, self.call_id)
+        self.forwarder.log_refusal(refusal, self)
+        self.exchange.refuse(refusal, self)
 
     def release(self) -> None:
         """Give back the slot and the load that the attempt holds."""
@@ -252,40 +336,66 @@
             self.guard = None
             self.forwarder.release_slot(guard)
 
-    def _is_own_response(self, head: ResponseHead) -> bool:
-        """Say whether a response that names its call names this one."""
-        call_id = head.own.get(CALL_ID_HEADER)
-        return call_id is None or call_id.decode("latin-1") == self.call_id
-
-    def _follow_refusal(self, refusal: Refusal) -> None:
-        self._refusal = None
-        may_have_run = refusal.ran is Ran.UNKNOWN
-        self._finish_attempt(refusal.reason, may_have_run)
-
-    def _finish_attempt(self, reason: Reason, may_have_run: bool) -> None:
-        now = self.forwarder.now
-        attempt = Attempt(
-            self.head.method,
-            self.attempt,
-            self.deadline,
-            may_have_run,
-            self.response_started,
-            self._body_kept,
-        )
+    def _begin_response(self, head: ResponseHead) -> None:
+        self.response_started = True
+        if isinstance(self.route, GuardRoute) and self.guard is not None:
+            head.lines.append(encode_load(self.guard.report_load(self.now)))
+        self.exchange.begin_response(head, head.lines)
+
+    def _release_held(self, held: HeldResponse) -> None:
+        """Pass on what was held; the rest of the body follows as it comes."""
+        self._held = None
+        if held.head.framing is Framing.UNTIL_CLOSE:
+            held.head.framing = Framing.CHUNKED
+        self._begin_response(held.head)
+        for part in held.parts:
+            self.exchange.write_response_body(part)
+
+    def _try_replace(self) -> bool:
+        """Start another attempt in place of a failed response; say if it began."""
+        route = self.route
+        repeatable = route.idempotent and self._body_kept
+        if not isinstance(route, EntryRoute) or not repeatable:
+            return False
+        needed_s = self.now - self.started
+        has_time = self.now + needed_s < route.deadline
+        if not has_time or self._sends + 1 >= route.max_attempts:
+            return False
+        if not self._try_budget():
+            return False
+        self._held = None
+        self._note_outcome(True)
+        refusal = refuse_unknown(Reason.SERVER_FAILED)
+        self._leave_attempt(refusal)
+        self.forwarder.count_retry(self, Retry(refusal.reason))
+        self.start()
+        return True
+
+    def _try_budget(self) -> bool:
+        route = self.route
+        if not isinstance(route, EntryRoute):
+            return False
+        return self.forwarder.try_retry(route.service)
+
+    def _leave_attempt(self, refusal: Refusal) -> None:
         self.tried.append(self.server)
-        self.last_reason = reason
+        self.refusal = refusal
+        if refusal.ran is not Ran.NOT_RUN:
+            self._sends += 1
+        if _CERTAINTY[refusal.ran] > _CERTAINTY[self._ran]:
+            self._ran = refusal.ran
         self.release()
-        limit = find_max_attempts(self.route, self.forwarder.limits.max_attempts)
-        outcome = decide_after_failure(attempt, reason, now, limit)
-        if isinstance(outcome, Retry):
-            self.forwarder.count_retry(outcome)
-            self.start()
-        elif isinstance(outcome, Abandon):
-            self._end()
-            self.forwarder.count_cut(outcome)
-            self.caller.cut()
-        else:
-            self.refuse(outcome)
+
+    def _is_failure(self, held: HeldResponse | None) -> bool:
+        return held is not None and held.head.status >= FIRST_FAILURE_STATUS
+
+    def _note_outcome(self, failed: bool) -> None:
+        if self.server:
+            self.forwarder.loads.note_outcome(self.server, failed)
+
+    def _follow_guard_refusal(self, refusal: Refusal) -> None:
+        self._guard_refusal = None
+        self.fail_attempt(refusal)
 
     def _keep(self, part: bytes) -> None:
         if not self._body_kept:
@@ -313,8 +423,8 @@
         if self.response_started:
             self._drop_upstream()
             self._end()
-            self.forwarder.count_cut(Abandon(Reason.DEADLINE_PASSED))
-            self.caller.cut()
+            self.forwarder.count_cut(self, Abandon(Reason.DEADLINE_PASSED))
+            self.exchange.cut()
         else:
             self.refuse(self.qualify(Reason.DEADLINE_PASSED))
 
--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -9,62 +9,50 @@
 from typing import TYPE_CHECKING, Any
 
 from monsoontray.decisions.outcomes import Reason, Refusal, refuse_unrun
+from monsoontray.decisions.retries import is_idempotent_method
 from monsoontray.forwarding.connection import Connection
-from monsoontray.forwarding.heads import (
-    CLOSE_LINE,
-    CONTINUE,
-    LAST_CHUNK,
-    EndOfMessage,
-    Framing,
-    RequestHead,
-    ResponseHead,
-    encode_chunk,
-    encode_response,
-)
+from monsoontray.forwarding.exchange import Exchange
+from monsoontray.forwarding.heads import EndOfMessage, RequestHead
 from monsoontray.forwarding.parsing import Malformed, RequestEvent, RequestParser
-from monsoontray.forwarding.refusals import encode_refusal
 
 if TYPE_CHECKING:
-    from monsoontray.forwarding.call import Call
     from monsoontray.forwarding.forwarder import Forwarder
     from monsoontray.kernel.timers import Timer
 
-SHORT_BODY_BYTES = 65_536  # read to its end after a refusal, to keep the connection
 LINGER_S = 1.0  # time to read on after a last response, so that it arrives
+MAX_PIPELINED = 16  # requests of one connection that are served at once
 
 
 class CallerConnection(Connection):
-    """Own one caller's socket: requests in, responses out, one call at a time."""
+    """Own one caller's socket: requests in, responses out in the same order."""
 
     __slots__ = (
+        "_exchanges",
         "_idle_deadline",
         "_idle_timer",
         "_lingering",
         "_parser",
         "_pending",
-        "_request_open",
-        "_response_chunked",
-        "_response_closes",
-        "_rest_is_short",
-        "call",
+        "_taking",
         "side",
     )
 
     def __init__(self, sock: socket.socket, forwarder: Forwarder, side: Any) -> None:
         super().__init__(sock, forwarder)
         self.side = side
-        self.call: Call | None = None
-        self._parser = RequestParser(forwarder.limits.head)
+        self._parser = RequestParser(forwarder.limits.head, side.names)
+        self._exchanges: deque[Exchange] = deque()
         self._pending: deque[RequestEvent] = deque()
-        self._request_open = False
-        self._rest_is_short = True
-        self._response_chunked = False
-        self._response_closes = False
         self._lingering = False
+        self._taking = False
         self._idle_deadline = forwarder.now + forwarder.limits.idle_s
         self._idle_timer: Timer | None = None
         self._arm_idle_timer()
 
+    def is_first(self, exchange: Exchange) -> bool:
+        """Say whether it is the turn of an exchange to be written."""
+        return bool(self._exchanges) and self._exchanges[0] is exchange
+
     def on_data(self, data: bytes) -> None:
         """Act on received bytes."""
         if self._lingering:
@@ -76,23 +64,14 @@
             self._limit_head(was_open)
         else:
             self._idle_deadline = self.forwarder.now + self.forwarder.limits.idle_s
-        for event in events:
-            if self._lingering or self.closed:
-                return
-            if self._pending or (self.call is not None and not self._request_open):
-                self._pending.append(event)
-            else:
-                _HANDLERS[event.__class__](event, self)
-        if self._pending:
-            self.pause_reading()
+        self._pending.extend(events)
+        self._take_pending()
 
     def on_lost(self) -> None:
-        """Cancel the call of a caller that has gone."""
-        call = self.call
-        self.call = None
+        """Cancel the calls of a caller that has gone."""
+        exchanges, self._exchanges = self._exchanges, deque()
         self.close()
-        if call is not None:
-            call.cancel()
+        _cancel_all(exchanges)
 
     def on_sent(self) -> None:
         """Let the response flow again once the caller has taken enough."""
@@ -100,8 +79,10 @@
             self._end_writing()
             return
         self._idle_deadline = self.forwarder.now + self.forwarder.limits.idle_s
-        if self.call is not None:
-            self.call.on_caller_sent(self.out_bytes)
+        if self._exchanges:
+            call = self._exchanges[0].call
+            if call is not None:
+                call.on_caller_sent(self.out_bytes)
 
     def close(self) -> None:
         """Close the socket and forget its timer."""
@@ -114,108 +95,123 @@
 
     def begin_request(self, head: RequestHead) -> None:
         """Start the call that a request asks for."""
-        self._request_open = True
-        chunked = head.framing is Framing.CHUNKED
-        self._rest_is_short = not chunked and head.length <= SHORT_BODY_BYTES
-        self._response_closes = not head.keep_alive
-        self.forwarder.start_call(self, head)
+        exchange = Exchange(self, head)
+        self._exchanges.append(exchange)
+        self.forwarder.start_call(self, exchange, head)
 
     def accept_body(self, part: bytes) -> None:
         """Pass on a part of the request's body."""
-        if self.call is not None:
-            self.call.on_request_body(part)
+        exchange = self._find_open()
+        if exchange is not None and exchange.call is not None:
+            exchange.call.on_request_body(part)
 
     def end_request(self) -> None:
         """Pass on the end of the request."""
-        self._request_open = False
-        if self.call is not None:
-            self.call.on_request_end()
+        exchange = self._find_open()
+        if exchange is not None:
+            exchange.request_open = False
+            if exchange.call is not None:
+                exchange.call.on_request_end()
+            elif exchange.done:
+                self.advance()
 
     def reject(self, malformed: Malformed) -> None:
         """Refuse a request that can't be read and end the connection."""
-        call = self.call
-        self.call = None
-        if call is not None:
+        refusal = refuse_unrun(malformed.reason)
+        exchange = self._find_open()
+        if exchange is not None and exchange.call is not None:
+            call = exchange.call
+            exchange.call = None
             response_begun = call.response_started
+            refusal = call.qualify(malformed.reason)
             call.cancel()
             if response_begun:
-                self.close()
+                exchange.cut()
                 return
-        refusal = refuse_unrun(malformed.reason)
-        if call is not None:
-            refusal = call.qualify(malformed.reason)
-        self.forwarder.log_refusal(refusal, "", "", malformed.detail)
-        self._response_closes = True
-        self.refuse(refusal)
-
-    def ask_to_continue(self) -> None:
-        """Tell a caller that waits for it to send the body."""
-        self.write(CONTINUE)
-
-    def begin_response(self, head: ResponseHead, lines: list[bytes]) -> None:
-        """Send the head of a response."""
-        if self.forwarder.stopping or self._request_open:
-            self._response_closes = True
-        if self._response_closes:
-            lines.append(CLOSE_LINE)
-        self._response_chunked = head.framing is Framing.CHUNKED
-        framing = head.framing
-        self.write(encode_response(head.status, lines, framing, head.length))
-
-    def write_response_body(self, part: bytes) -> None:
-        """Send a part of the response's body."""
-        self.write(encode_chunk(part) if self._response_chunked else part)
-
-    def end_response(self) -> None:
-        """Finish the response and go on to the next request."""
-        if self._response_chunked:
-            self.write(LAST_CHUNK)
-        self._finish_call()
-
-    def refuse(self, refusal: Refusal, call_id: str = "") -> None:
-        """Send a refusal as the response."""
-        self.forwarder.count_refusal(refusal)
-        rest_is_long = self._request_open and not self._rest_is_short
-        if rest_is_long or self.forwarder.stopping:
-            self._response_closes = True
-        self.write(encode_refusal(refusal, call_id, self._response_closes))
-        self._finish_call()
+        elif exchange is None or exchange.done:
+            if exchange is not None:
+                exchange.request_open = False
+            exchange = Exchange(self, None)
+            self._exchanges.append(exchange)
+        exchange.closes = True
+        self.forwarder.log_rejection(refusal, malformed.detail)
+        exchange.refuse(refusal, None)
 
     def refuse_connection(self, refusal: Refusal) -> None:
         """Send a refusal before any request and end the connection."""
-        self._response_closes = True
-        self.refuse(refusal)
-
-    def cut(self) -> None:
-        """End a response visibly incomplete."""
-        self.call = None
-        self.close()
+        exchange = Exchange(self, None)
+        self._exchanges.append(exchange)
+        self.forwarder.log_rejection(refusal, "")
+        exchange.refuse(refusal, None)
+
+    def resume_if_allowed(self) -> None:
+        """Read on unless requests that were received wait for their turn."""
+        if not self._pending:
+            self.resume_reading()
+
+    def advance(self) -> None:
+        """Go on to the next response once one is complete."""
+        while self._exchanges and not self._lingering:
+            first = self._exchanges[0]
+            if not first.done or (first.request_open and not first.closes):
+                break
+            if first.was_cut:
+                self.on_lost()
+                return
+            self._exchanges.popleft()
+            if first.closes:
+                self._linger()
+                return
+            if self._exchanges:
+                for part in self._exchanges[0].take_parts():
+                    self.write(part)
+        self._take_pending()
 
     def close_if_idle(self) -> None:
         """Close a connection that carries no call."""
-        if self.call is None and not self._pending and not self._lingering:
+        if not self._exchanges and not self._pending and not self._lingering:
             self.close()
 
-    def _finish_call(self) -> None:
-        self.call = None
-        if self._response_closes:
-            self._linger()
-            return
-        if self._pending:
-            self._replay_pending()
-        self.resume_reading()
+    def _find_open(self) -> Exchange | None:
+        """Return the exchange whose request is still arriving."""
+        if self._exchanges and self._exchanges[-1].request_open:
+            return self._exchanges[-1]
+        return None
 
-    def _replay_pending(self) -> None:
-        while self._pending:
-            if self.call is not None and not self._request_open:
-                return
-            event = self._pending.popleft()
+    def _take_pending(self) -> None:
+        """Act on the events whose turn has come."""
+        if self._taking:
+            return
+        self._taking = True
+        pending = self._pending
+        while pending and not self._lingering and not self.closed:
+            if not self._may_take(pending[0]):
+                self.pause_reading()
+                break
+            event = pending.popleft()
             _HANDLERS[event.__class__](event, self)
+        self._taking = False
+        exchange = self._find_open()
+        if not pending and (exchange is None or not exchange.paused):
+            self.resume_reading()
+
+    def _may_take(self, event: RequestEvent) -> bool:
+        """Say whether an event can be acted on before earlier calls have ended."""
+        if self._find_open() is not None or not self._exchanges:
+            return True
+        if isinstance(event, RequestHead):
+            if len(self._exchanges) >= MAX_PIPELINED:
+                return False
+            return is_idempotent_method(event.method)
+        return False
 
     def _linger(self) -> None:
         """Read and drop what still arrives, so that the response is not lost."""
         self._lingering = True
         self._pending.clear()
+        # Requests behind a response that closes the connection count as unread.
+        exchanges, self._exchanges = self._exchanges, deque()
+        _cancel_all(exchanges)
         self._idle_deadline = self.forwarder.now + LINGER_S
         if self._idle_timer is not None:
             self.forwarder.timers.cancel(self._idle_timer)
@@ -242,8 +238,8 @@
 
     def _check_idle(self) -> None:
         now = self.forwarder.now
-        waits_for_response = self.call is not None and not self._request_open
-        if waits_for_response and not self.out_bytes:
+        open_exchange = self._find_open()
+        if self._exchanges and open_exchange is None and not self.out_bytes:
             self._idle_deadline = now + self.forwarder.limits.idle_s
         if self._idle_deadline > now:
             self._arm_idle_timer()
@@ -251,12 +247,20 @@
             self.on_lost()
         elif self._parser.open_head:
             self.reject(Malformed(Reason.HEAD_TIMEOUT, "the head came too slowly"))
-        elif self.call is not None:
+        elif open_exchange is not None and open_exchange.call is not None:
             self.reject(Malformed(Reason.BODY_TIMEOUT, "the body came too slowly"))
         else:
             self.close()
 
 
+def _cancel_all(exchanges: deque[Exchange]) -> None:
+    for exchange in exchanges:
+        call = exchange.call
+        exchange.call = None
+        if call is not None:
+            call.cancel()
+
+
 @singledispatch
 def accept_event(event: Any, caller: CallerConnection) -> None:
     """Act on an event of the request parser."""
--- a/monsoontray/forwarding/connection.py
+++ b/monsoontray/forwarding/connection.py
@@ -12,6 +12,9 @@
     from monsoontray.forwarding.forwarder import Forwarder
 
 READ_BYTES = 65_536
+#: Time after which sent bytes that the peer did not acknowledge end a connection,
+#: so that one that went silent is found. Several retransmissions fit in it.
+UNACKNOWLEDGED_MS = 1_500
 
 
 class Connection:
@@ -127,17 +130,22 @@
         self.out_bytes = 0
         self._set_events((self._events | READABLE) & ~WRITABLE)
 
+    def on_end(self) -> None:
+        """Act on the peer having sent everything; as a loss unless overridden."""
+        self.on_lost()
+
     def _read(self) -> None:
         try:
             data = self.sock.recv(READ_BYTES)
         except BlockingIOError:
             return
         except OSError:
-            data = b""
+            self.on_lost()
+            return
         if data:
             self.on_data(data)
         else:
-            self.on_lost()
+            self.on_end()
 
     def _set_events(self, events: int) -> None:
         if events != self._events and not self.closed:
@@ -150,3 +158,6 @@
     sock.setblocking(False)
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+        )
--- a/monsoontray/forwarding/framing.py
+++ b/monsoontray/forwarding/framing.py
@@ -4,7 +4,13 @@
 
 from monsoontray.decisions.outcomes import Reason
 from monsoontray.forwarding.errors import MalformedMessageError
-from monsoontray.forwarding.heads import OWN_PREFIX, Framing, Headers, encode_line
+from monsoontray.forwarding.heads import (
+    OWN_PREFIX,
+    Framing,
+    HeaderNames,
+    Headers,
+    encode_line,
+)
 
 MAX_LENGTH_DIGITS = 15
 _VERSION = "1.1"
@@ -31,9 +37,11 @@
 class HeaderCollector:
     """Sort the headers of one message as the parser reads them."""
 
-    __slots__ = ("hop", "lines", "own")
+    __slots__ = ("_read", "_taken", "hop", "lines", "own")
 
-    def __init__(self) -> None:
+    def __init__(self, names: HeaderNames) -> None:
+        self._read = names.read
+        self._taken = names.taken
         self.begin_headers()
 
     def begin_headers(self) -> None:
@@ -47,9 +55,11 @@
         name, value = name.lower(), value.rstrip()
         if name in HOP_HEADERS:
             self.hop.append((name, value))
-        elif name.startswith(OWN_PREFIX):
+        elif name.startswith(OWN_PREFIX) or name in self._taken:
             self.own[name] = value
         else:
+            if name in self._read:
+                self.own[name] = value
             self.lines.append(b"".join((name, b": ", value, b"\r\n")))
 
     def count_headers(self) -> int:
@@ -117,6 +127,22 @@
     return Framing.UNTIL_CLOSE, 0
 
 
+def find_host(collected: HeaderCollector) -> str:
+    """Return the value of the Host header."""
+    hosts = _find_all(collected.hop, b"host")
+    return hosts[0].decode("latin-1") if hosts else ""
+
+
+def find_keep_alive_s(collected: HeaderCollector) -> float:
+    """Return how long the other end keeps an idle connection; 0 if it is unsaid."""
+    for value in _find_all(collected.hop, b"keep-alive"):
+        for part in value.split(b","):
+            name, _, seconds = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and seconds.isdigit():
+                return float(int(seconds[:MAX_LENGTH_DIGITS]))
+    return 0.0
+
+
 def find_expectation(collected: HeaderCollector) -> bool:
     """Say whether the caller waits to be asked for the body."""
     expectations = _find_all(collected.hop, b"expect")
--- a/monsoontray/forwarding/heads.py
+++ b/monsoontray/forwarding/heads.py
@@ -18,6 +18,17 @@
     UNTIL_CLOSE = "until-close"
 
 
+@dataclass(slots=True, frozen=True)
+class HeaderNames:
+    """Name the headers, besides its own, that a node acts on."""
+
+    read: frozenset[bytes] = frozenset()  # passed on as well
+    taken: frozenset[bytes] = frozenset()  # not passed on
+
+
+OWN_NAMES_ONLY = HeaderNames()
+
+
 @dataclass(slots=True)
 class RequestHead:
     """Hold the head of a request."""
@@ -25,7 +36,8 @@
     method: str
     target: bytes
     lines: list[bytes]  # end-to-end headers, each as a line
-    own: dict[bytes, bytes]  # headers of monsoontray itself
+    own: dict[bytes, bytes]  # headers that the node itself acts on
+    host: str
     authorization: bytes
     framing: Framing
     length: int
@@ -39,10 +51,11 @@
 
     status: int
     lines: list[bytes]  # end-to-end headers, each as a line
-    own: dict[bytes, bytes]  # headers of monsoontray itself
+    own: dict[bytes, bytes]  # headers that the node itself acts on
     framing: Framing
     length: int
     keep_alive: bool
+    keep_alive_s: float = 0.0  # how long the server keeps the connection; 0: unsaid
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/monsoontray/forwarding/interfaces.py
@@ -0,0 +1,56 @@
+"""The interfaces that a node can speak with callers and backend servers."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from monsoontray.decisions.bounds import Bounds
+from monsoontray.forwarding.sides import GuardSide, MeshEntrySide, PlanEntrySide
+from monsoontray.forwarding.vocabulary import OWN_VOCABULARY, Vocabulary
+
+if TYPE_CHECKING:
+    from monsoontray.settings.settings import Settings
+
+PLATFORM = "platform"
+
+
+@dataclass(slots=True, frozen=True)
+class Interface:
+    """Describe how a node speaks with callers and backend servers."""
+
+    vocabulary: Vocabulary
+    entry_side: Any
+    guard_side: GuardSide
+    bounds: Bounds
+
+
+def find_interface(settings: Settings) -> Interface:
+    """Return the interface that the settings name."""
+    if settings.get_text("interface") != PLATFORM:
+        return Interface(
+            OWN_VOCABULARY, PlanEntrySide(), GuardSide(), read_bounds(settings)
+        )
+    from monsoontray.platform.headers import VOCABULARY
+
+    return Interface(
+        VOCABULARY,
+        MeshEntrySide(VOCABULARY, settings.get_text("service")),
+        GuardSide(VOCABULARY),
+        read_bounds(settings),
+    )
+
+
+def read_bounds(settings: Settings) -> Bounds:
+    """Return the bounds of the deployment that the settings state."""
+    return Bounds(
+        retry_ratio=settings.get_float("retry_ratio") or math.inf,
+        retry_window_s=settings.get_float("retry_window_s"),
+        retry_slack=settings.get_float("retry_slack"),
+        cold_factor=settings.get_float("cold_factor"),
+        cold_slack=settings.get_float("cold_slack"),
+        exposure_share=settings.get_float("exposure_share"),
+        exposure_slack=settings.get_float("exposure_slack"),
+        stop_limit_s=settings.get_float("stop_limit_s"),
+    )
--- a/monsoontray/forwarding/limits.py
+++ b/monsoontray/forwarding/limits.py
@@ -25,6 +25,7 @@
     replay_bytes: int
     queue_length: int
     max_attempts: int
+    stop_notice_s: float  # time that callers get to go elsewhere at a stop
 
 
 def read_limits(settings: Settings) -> Limits:
@@ -43,4 +44,5 @@
         replay_bytes=settings.get_number("replay_buffer_bytes"),
         queue_length=settings.get_number("guard_queue_length"),
         max_attempts=settings.get_number("max_attempts"),
+        stop_notice_s=settings.get_seconds("stop_notice_ms"),
     )
--- a/monsoontray/forwarding/listener.py
+++ b/monsoontray/forwarding/listener.py
@@ -1,24 +1,11 @@
-"""Listening sockets and the two sides that calls come in on."""
+"""Listening sockets."""
 
 from __future__ import annotations
 
 import socket
-from dataclasses import dataclass
-from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
-from monsoontray.decisions.admission import admit_call
-from monsoontray.decisions.outcomes import Reason, Refusal, refuse_unrun
-from monsoontray.decisions.paths import reduce_target
 from monsoontray.forwarding.connection import prepare_socket
-from monsoontray.forwarding.heads import RequestHead
-from monsoontray.forwarding.routes import (
-    CUSTOMER_HEADER,
-    PRIORITY_HEADER,
-    SERVER_HEADER,
-    EntryRoute,
-    GuardRoute,
-)
 from monsoontray.kernel.sockets import READABLE
 
 if TYPE_CHECKING:
@@ -27,18 +14,6 @@
 
 BACKLOG = 1024  # connections that wait to be accepted
 ACCEPT_BATCH = 64  # connections accepted in one event
-LEAST_PRIORITY = 9
-_BEARER = b"Bearer "
-
-
-@dataclass(slots=True, frozen=True)
-class EntrySide:
-    """Mark calls that come from callers."""
-
-
-@dataclass(slots=True, frozen=True)
-class GuardSide:
-    """Mark calls that come from other nodes."""
 
 
 class Listener:
@@ -70,45 +45,3 @@
         """Listen no longer."""
         self._forwarder.remove_socket(self._sock.fileno())
         self._sock.close()
-
-
-@singledispatch
-def find_route(
-    side: Any, head: RequestHead, forwarder: Forwarder
-) -> EntryRoute | GuardRoute | Refusal:
-    """Decide where a call that came in on a side goes."""
-    raise TypeError(f"no such side: {side!r}")
-
-
-@find_route.register(EntrySide)
-def _(
-    side: EntrySide, head: RequestHead, forwarder: Forwarder
-) -> EntryRoute | GuardRoute | Refusal:
-    path = reduce_target(head.target)
-    if path is None:
-        return refuse_unrun(Reason.BAD_REQUEST)
-    token = _find_token(head)
-    admitted = admit_call(forwarder.entitlements, token, head.method, path)
-    if isinstance(admitted, Refusal):
-        return admitted
-    return EntryRoute(admitted)
-
-
-@find_route.register(GuardSide)
-def _(
-    side: GuardSide, head: RequestHead, forwarder: Forwarder
-) -> EntryRoute | GuardRoute | Refusal:
-    server = head.own.get(SERVER_HEADER, b"").decode("latin-1")
-    if server not in forwarder.guards:
-        return refuse_unrun(Reason.NO_SERVER)
-    customer = head.own.get(CUSTOMER_HEADER, b"").decode("latin-1")
-    priority = head.own.get(PRIORITY_HEADER, b"")
-    rank = int(priority) if priority.isdigit() else LEAST_PRIORITY
-    return GuardRoute(server, customer, rank)
-
-
-def _find_token(head: RequestHead) -> bytes:
-    credentials = head.authorization
-    if not credentials.startswith(_BEARER):
-        return b""
-    return credentials[len(_BEARER) :]
--- a/monsoontray/forwarding/messages.py
+++ b/monsoontray/forwarding/messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from monsoontray.decisions.admission import Entitlements
+from monsoontray.decisions.routing import RouteTable
 from monsoontray.decisions.servers import ServerRecord, ServerTable
 from monsoontray.kernel.mailbox import Reply
 from monsoontray.settings.settings import Address
@@ -17,6 +18,33 @@
     entitlements: Entitlements
 
 
+@dataclass(slots=True, frozen=True)
+class UseRoutes:
+    """Put a configuration of routes in force."""
+
+    table: RouteTable
+
+
+@dataclass(slots=True, frozen=True)
+class EvacuateZones:
+    """Take the changed set of zones whose servers get nothing."""
+
+    zones: frozenset[str]
+
+
+@dataclass(slots=True, frozen=True)
+class NodeLeaves:
+    """Tell others that this node and its servers leave."""
+
+
+@dataclass(slots=True, frozen=True)
+class ServerDoubted:
+    """Tell that a local server may have ended or started anew."""
+
+    server: str
+    reason: str
+
+
 @dataclass(slots=True, frozen=True)
 class UseServers:
     """Take a changed table of the fleet's servers."""
@@ -55,3 +83,5 @@
     version: int
     slots_in_use: int
     waiting: int
+    stopping: bool = False
+    servers: int = 0  # servers of other services and this one that may be called
--- a/monsoontray/forwarding/parsing.py
+++ b/monsoontray/forwarding/parsing.py
@@ -11,13 +11,17 @@
 from monsoontray.forwarding.framing import (
     HeaderCollector,
     find_expectation,
+    find_host,
+    find_keep_alive_s,
     find_request_framing,
     find_response_framing,
 )
 from monsoontray.forwarding.heads import (
     END_OF_MESSAGE,
+    OWN_NAMES_ONLY,
     EndOfMessage,
     Framing,
+    HeaderNames,
     RequestHead,
     ResponseHead,
 )
@@ -59,8 +63,10 @@
         "open_head",
     )
 
-    def __init__(self, limits: HeadLimits) -> None:
-        super().__init__()
+    def __init__(
+        self, limits: HeadLimits, names: HeaderNames = OWN_NAMES_ONLY
+    ) -> None:
+        super().__init__(names)
         self._limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._events: list[RequestEvent] = []
@@ -113,6 +119,7 @@
             self._target,
             self.lines,
             self.own,
+            find_host(self),
             _find_authorization(self.lines),
             framing,
             length,
@@ -145,8 +152,10 @@
         "_unread",
     )
 
-    def __init__(self, limits: HeadLimits) -> None:
-        super().__init__()
+    def __init__(
+        self, limits: HeadLimits, names: HeaderNames = OWN_NAMES_ONLY
+    ) -> None:
+        super().__init__(names)
         self._limits = limits
         self._events: list[ResponseEvent] = []
         self._method = ""
@@ -194,7 +203,15 @@
         framing, length = find_response_framing(self, status, self._method)
         self.drop_named_by_connection()
         keep_alive = self._parser.should_keep_alive()
-        head = ResponseHead(status, self.lines, self.own, framing, length, keep_alive)
+        head = ResponseHead(
+            status,
+            self.lines,
+            self.own,
+            framing,
+            length,
+            keep_alive,
+            find_keep_alive_s(self),
+        )
         self.begin_headers()  # trailers are dropped
         self._events.append(head)
         if self._method == "HEAD":
--- a/monsoontray/forwarding/refusals.py
+++ b/monsoontray/forwarding/refusals.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from functools import singledispatch
 from http import HTTPStatus
+from typing import Any
 
 import msgspec
 
@@ -14,26 +16,41 @@
     encode_line,
     encode_response,
 )
+from monsoontray.forwarding.sides import MeshEntrySide
 
 REFUSAL_HEADER = b"monsoontray-refusal"
 RAN_HEADER = b"monsoontray-ran"
+RETRY_HEADER = b"monsoontray-retry-after-ms"
 CALL_ID_HEADER = b"monsoontray-call-id"
+MIN_RETRY_AFTER_S = 0.05  # a shorter pause would only repeat the refusal
 
 _STATUSES = {
     Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
     Reason.HEAD_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    Reason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     Reason.HEAD_TIMEOUT: HTTPStatus.REQUEST_TIMEOUT,
     Reason.BODY_TIMEOUT: HTTPStatus.REQUEST_TIMEOUT,
     Reason.UNSUPPORTED: HTTPStatus.NOT_IMPLEMENTED,
     Reason.NO_CREDENTIALS: HTTPStatus.UNAUTHORIZED,
     Reason.UNKNOWN_CUSTOMER: HTTPStatus.UNAUTHORIZED,
     Reason.NOT_IN_PLAN: HTTPStatus.FORBIDDEN,
+    Reason.NO_ROUTE: HTTPStatus.NOT_FOUND,
     Reason.DEADLINE_PASSED: HTTPStatus.GATEWAY_TIMEOUT,
     Reason.CONNECTION_LOST: HTTPStatus.BAD_GATEWAY,
     Reason.BAD_RESPONSE: HTTPStatus.BAD_GATEWAY,
 }
+#: Statuses by which callers tell that a request has not run.
+_NOT_RUN_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 _REASONS = {reason.value.encode(): reason for reason in Reason}
 _RAN = {ran.value.encode(): ran for ran in Ran}
+_MS_PER_S = 1000
 
 
 class RefusalBody(msgspec.Struct, frozen=True):
@@ -44,9 +61,9 @@
     call: str
 
 
-def encode_refusal(refusal: Refusal, call_id: str, closes: bool) -> bytes:
-    """Return the whole response that refuses a call."""
-    status = _STATUSES.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+@singledispatch
+def encode_refusal(side: Any, refusal: Refusal, call_id: str, closes: bool) -> bytes:
+    """Return the whole response that refuses a call, as a side's callers know it."""
     reason = refusal.reason.value
     ran = refusal.ran.value
     body = msgspec.json.encode(RefusalBody(reason, ran, call_id)) + b"\n"
@@ -55,12 +72,35 @@
         encode_line(REFUSAL_HEADER, reason.encode()),
         encode_line(RAN_HEADER, ran.encode()),
     ]
+    if refusal.retry_after_s:
+        retry_ms = b"%d" % (refusal.retry_after_s * _MS_PER_S)
+        lines.append(encode_line(RETRY_HEADER, retry_ms))
     if call_id:
         lines.append(encode_line(CALL_ID_HEADER, call_id.encode("latin-1")))
-    if closes:
-        lines.append(CLOSE_LINE)
-    head = encode_response(status, lines, Framing.LENGTH, len(body))
-    return head + body
+    status = _STATUSES.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    return _encode(status, lines, body, closes)
+
+
+@encode_refusal.register(MeshEntrySide)
+def _(side: MeshEntrySide, refusal: Refusal, call_id: str, closes: bool) -> bytes:
+    status = _find_true_status(refusal)
+    lines = [b"content-type: application/json\r\n"]
+    if call_id:
+        lines.append(encode_line(side.vocabulary.call_id, call_id.encode("latin-1")))
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        retry_s = max(refusal.retry_after_s, MIN_RETRY_AFTER_S)
+        lines.append(b"retry-after: %.3f\r\n" % retry_s)
+    ran = refusal.ran.value
+    body = msgspec.json.encode(RefusalBody(refusal.reason.value, ran, call_id))
+    return _encode(status, lines, body + b"\n", closes)
+
+
+def _find_true_status(refusal: Refusal) -> HTTPStatus:
+    """Return the status of a refusal; one that promises "not run" only if true."""
+    status = _STATUSES.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    if refusal.ran is Ran.UNKNOWN and status in _NOT_RUN_STATUSES:
+        return HTTPStatus.BAD_GATEWAY
+    return status
 
 
 def read_refusal(head: ResponseHead) -> Refusal | None:
@@ -69,4 +109,14 @@
     if not reason:
         return None
     ran = _RAN.get(head.own.get(RAN_HEADER, b""), Ran.UNKNOWN)
-    return Refusal(_REASONS.get(reason, Reason.BAD_RESPONSE), ran)
+    retry_ms = head.own.get(RETRY_HEADER, b"")
+    retry_after_s = int(retry_ms) / _MS_PER_S if retry_ms.isdigit() else 0.0
+    return Refusal(_REASONS.get(reason, Reason.BAD_RESPONSE), ran, retry_after_s)
+
+
+def _encode(
+    status: HTTPStatus, lines: list[bytes], body: bytes, closes: bool
+) -> bytes:
+    if closes:
+        lines.append(CLOSE_LINE)
+    return encode_response(status, lines, Framing.LENGTH, len(body)) + body
--- /dev/null
+++ b/monsoontray/forwarding/report.py
@@ -0,0 +1,137 @@
+"""Count and log what happens to calls, within a bounded volume."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+
+from monsoontray.forwarding.routes import EntryRoute, GuardRoute
+
+if TYPE_CHECKING:
+    from monsoontray.decisions.outcomes import Refusal
+    from monsoontray.decisions.retries import Abandon, Retry
+    from monsoontray.forwarding.call import Call
+    from monsoontray.forwarding.forwarder import Forwarder
+    from monsoontray.forwarding.heads import RequestHead
+
+#: Lines a second about calls; a line costs about 50 us, so this is half a percent
+#: of a core.
+LINES_PER_S = 100
+LINES_AT_ONCE = 200  # after a quiet time
+
+
+class Report:
+    """Count every event of a call; log as many as the bound allows."""
+
+    __slots__ = ("_forwarder", "_lines", "_metrics", "_refilled", "_suppressed")
+
+    def __init__(self, forwarder: Forwarder) -> None:
+        self._forwarder = forwarder
+        self._metrics = forwarder.metrics
+        self._lines = float(LINES_AT_ONCE)
+        self._refilled = forwarder.now
+        self._suppressed = 0
+
+    def refusal(self, refusal: Refusal, call: Call) -> None:
+        """Report the refusal of a call."""
+        self._metrics.count_refusal(refusal.reason.value, refusal.ran.value)
+        self._log(
+            "call refused", call, reason=refusal.reason.value, ran=refusal.ran.value
+        )
+
+    def refuse_head(self, refusal: Refusal, call_id: str, head: RequestHead) -> None:
+        """Report a request that no route takes."""
+        self._metrics.count_refusal(refusal.reason.value, refusal.ran.value)
+        if self._take_line():
+            target = head.target[:200].decode("latin-1")
+            self._write(
+                "request refused",
+                call=call_id,
+                reason=refusal.reason.value,
+                ran=refusal.ran.value,
+                host=head.host,
+                target=target,
+            )
+
+    def reject(self, refusal: Refusal, detail: str) -> None:
+        """Report bytes that are no request, or a connection too many."""
+        self._metrics.count_refusal(refusal.reason.value, refusal.ran.value)
+        if self._take_line():
+            self._write("connection refused", reason=refusal.reason.value, why=detail)
+
+    def retry(self, call: Call, retry: Retry) -> None:
+        """Report that a call is offered to another server."""
+        self._metrics.count_retry(retry.reason.value)
+        self._log("call sent again", call, reason=retry.reason.value)
+
+    def cut(self, call: Call, cut: Abandon) -> None:
+        """Report a response that was cut short."""
+        self._metrics.count_cut(cut.reason.value)
+        self._log("response cut", call, reason=cut.reason.value)
+
+    def cancelled(self, call: Call) -> None:
+        """Report a call whose caller had gone."""
+        self._metrics.count_cancelled()
+        self._log("caller gone", call)
+
+    def response(self, call: Call) -> None:
+        """Report a whole response."""
+        self._metrics.responses += 1
+        side = get_side(call.route)
+        self._metrics.observe_call(side, self._forwarder.now - call.started)
+        self._log("call answered", call)
+
+    def _log(self, text: str, call: Call, **fields: Any) -> None:
+        if not self._take_line():
+            return
+        route = call.route
+        self._write(
+            text,
+            call=call.call_id,
+            side=get_side(route),
+            route=route.name,
+            server=call.server,
+            tried=",".join(call.tried),
+            ms=round((self._forwarder.now - call.started) * 1000, 1),
+            left_ms=round((route.deadline - self._forwarder.now) * 1000),
+            **fields,
+        )
+
+    def _write(self, text: str, **fields: Any) -> None:
+        table = self._forwarder.route_table
+        entitlements = self._forwarder.entitlements
+        number = entitlements.name.number if table is None else table.number
+        if self._suppressed:
+            fields["left_out"] = self._suppressed  # lines since the one before
+            self._suppressed = 0
+        logger.bind(version=number, **fields).info(text)
+
+    def _take_line(self) -> bool:
+        now = self._forwarder.now
+        refill = (now - self._refilled) * LINES_PER_S
+        self._lines = min(LINES_AT_ONCE, self._lines + refill)
+        self._refilled = now
+        if self._lines < 1.0:
+            self._suppressed += 1
+            self._metrics.count_suppressed_line()
+            return False
+        self._lines -= 1.0
+        return True
+
+
+@singledispatch
+def get_side(route: Any) -> str:
+    """Return the name of the side that a call came in on."""
+    raise TypeError(f"no such route: {route!r}")
+
+
+@get_side.register(EntryRoute)
+def _(route: EntryRoute) -> str:
+    return "entry"
+
+
+@get_side.register(GuardRoute)
+def _(route: GuardRoute) -> str:
+    return "guard"
--- /dev/null
+++ b/monsoontray/forwarding/responses.py
@@ -0,0 +1,90 @@
+"""Judge the heads of responses; hold a response until it is whole."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_unknown
+from monsoontray.decisions.servers import LoadReport
+from monsoontray.forwarding.heads import Framing, ResponseHead, encode_line
+from monsoontray.forwarding.routes import LOAD_HEADER
+
+if TYPE_CHECKING:
+    from monsoontray.forwarding.vocabulary import Vocabulary
+
+WRONG_SERVER_STATUS = 421
+_MS_PER_S = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class Foreign:
+    """Say that a response belongs to another call."""
+
+
+@dataclass(slots=True, frozen=True)
+class Accepted:
+    """Say that a response belongs to its call."""
+
+
+def judge_response(
+    head: ResponseHead, call_id: str, vocabulary: Vocabulary
+) -> Accepted | Foreign | Refusal:
+    """Decide what the head of a backend server's response is worth."""
+    if head.framing is Framing.UNTIL_CLOSE and not vocabulary.allows_unframed:
+        return refuse_unknown(Reason.BAD_RESPONSE)
+    named = head.own.get(vocabulary.call_id)
+    if not vocabulary.callers_name_calls:
+        is_own = named is None or named.decode("latin-1") == call_id
+        return Accepted() if is_own else refuse_unknown(Reason.BAD_RESPONSE)
+    if head.own.get(vocabulary.not_run):
+        if head.status == WRONG_SERVER_STATUS:
+            return Refusal(Reason.WRONG_SERVER, Ran.REJECTED)
+        return Refusal(Reason.SERVER_SHED, Ran.REJECTED)
+    if head.status == WRONG_SERVER_STATUS:
+        return Refusal(Reason.WRONG_SERVER, Ran.REJECTED)
+    if named is None:
+        return refuse_unknown(Reason.BAD_RESPONSE)
+    if named.decode("latin-1") != call_id:
+        return Foreign()
+    if head.status < 300 and not head.own.get(vocabulary.seal):
+        return refuse_unknown(Reason.BAD_RESPONSE)
+    return Accepted()
+
+
+class HeldResponse:
+    """Hold a response that can still be replaced."""
+
+    __slots__ = ("head", "parts", "size")
+
+    def __init__(self, head: ResponseHead) -> None:
+        self.head = head
+        self.parts: list[bytes] = []
+        self.size = 0
+
+    def add(self, part: bytes) -> None:
+        """Take a part of the body."""
+        self.parts.append(part)
+        self.size += len(part)
+
+    def complete(self) -> None:
+        """Give a response that ended with its connection the length it has."""
+        if self.head.framing is Framing.UNTIL_CLOSE:
+            self.head.framing = Framing.LENGTH
+            self.head.length = self.size
+
+
+def encode_load(report: LoadReport) -> bytes:
+    """Return a guard's load as a header line."""
+    service_ms = int(report.service_s * _MS_PER_S)
+    value = b"%d %d %d" % (report.calls, report.slots, service_ms)
+    return encode_line(LOAD_HEADER, value)
+
+
+def read_load(head: ResponseHead) -> LoadReport | None:
+    """Return the load that a guard's response carries, if any."""
+    parts = head.own.get(LOAD_HEADER, b"").split()
+    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+        return None
+    calls, slots, service_ms = (int(part) for part in parts)
+    return LoadReport(calls, slots, service_ms / _MS_PER_S)
--- /dev/null
+++ b/monsoontray/forwarding/sides.py
@@ -0,0 +1,153 @@
+"""The sides that calls come in on, and where the calls of each go."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+from monsoontray.decisions.admission import admit_call
+from monsoontray.decisions.outcomes import Reason, Refusal, refuse_unrun
+from monsoontray.decisions.paths import reduce_target
+from monsoontray.decisions.retries import is_idempotent_method
+from monsoontray.forwarding.heads import HeaderNames, RequestHead, encode_line
+from monsoontray.forwarding.routes import (
+    CUSTOMER_HEADER,
+    IDEMPOTENT_HEADER,
+    LEAST_PRIORITY,
+    PRIORITY_HEADER,
+    SERVER_HEADER,
+    TIMEOUT_HEADER,
+    EntryRoute,
+    GuardRoute,
+)
+from monsoontray.forwarding.vocabulary import OWN_VOCABULARY, Vocabulary
+
+if TYPE_CHECKING:
+    from monsoontray.forwarding.forwarder import Forwarder
+
+MAX_TIMEOUT_MS = 3_600_000
+_BEARER = b"Bearer "
+
+
+@dataclass(slots=True, frozen=True)
+class PlanEntrySide:
+    """Mark calls of partner routers, which customers' plans admit."""
+
+    names: HeaderNames = HeaderNames()
+
+
+@dataclass(slots=True, frozen=True)
+class MeshEntrySide:
+    """Mark calls that begin on this VM and go by host and path."""
+
+    vocabulary: Vocabulary
+    service: str  # the service on this VM
+
+    @property
+    def names(self) -> HeaderNames:
+        """Return the headers that this side acts on."""
+        return self.vocabulary.get_request_names()
+
+
+@dataclass(slots=True, frozen=True)
+class GuardSide:
+    """Mark calls that come from other nodes."""
+
+    vocabulary: Vocabulary = OWN_VOCABULARY
+
+    @property
+    def names(self) -> HeaderNames:
+        """Return the headers that this side acts on."""
+        return self.vocabulary.get_forwarded_names()
+
+
+@singledispatch
+def find_route(
+    side: Any, head: RequestHead, forwarder: Forwarder
+) -> EntryRoute | GuardRoute | Refusal:
+    """Decide where a call that came in on a side goes."""
+    raise TypeError(f"no such side: {side!r}")
+
+
+@find_route.register(PlanEntrySide)
+def _(
+    side: PlanEntrySide, head: RequestHead, forwarder: Forwarder
+) -> EntryRoute | GuardRoute | Refusal:
+    path = reduce_target(head.target)
+    if path is None:
+        return refuse_unrun(Reason.BAD_REQUEST)
+    token = _find_token(head)
+    admitted = admit_call(forwarder.entitlements, token, head.method, path)
+    if isinstance(admitted, Refusal):
+        return admitted
+    timeout_s = _read_timeout(head, TIMEOUT_HEADER, forwarder.limits.call_s)
+    return EntryRoute(
+        service=admitted.service,
+        resource=admitted.resource,
+        customer=admitted.customer,
+        name=admitted.plan,
+        priority=admitted.priority,
+        idempotent=is_idempotent_method(head.method),
+        max_attempts=forwarder.limits.max_attempts,
+        deadline=forwarder.now + timeout_s,
+    )
+
+
+@find_route.register(MeshEntrySide)
+def _(
+    side: MeshEntrySide, head: RequestHead, forwarder: Forwarder
+) -> EntryRoute | GuardRoute | Refusal:
+    table = forwarder.route_table
+    if table is None:
+        return refuse_unrun(Reason.NO_VERSION)
+    if head.length > table.routes.limits.body_bytes:
+        return refuse_unrun(Reason.BODY_TOO_LARGE)
+    route = table.find_route(head.host, head.target.decode("latin-1"))
+    if route is None:
+        return refuse_unrun(Reason.NO_ROUTE)
+    vocabulary = side.vocabulary
+    timeout_s = _read_timeout(head, vocabulary.timeout_ms, route.timeout_s)
+    # What callers claim here was taken from the request; the node knows better.
+    caller = encode_line(vocabulary.caller_service, side.service.encode("latin-1"))
+    head.lines.append(caller)
+    return EntryRoute(
+        service=table.take_turn(route),
+        resource="",
+        customer="",
+        name=route.name,
+        priority=route.priority,
+        idempotent=route.idempotent,
+        max_attempts=route.max_attempts,
+        deadline=forwarder.now + min(timeout_s, route.timeout_s),
+    )
+
+
+@find_route.register(GuardSide)
+def _(
+    side: GuardSide, head: RequestHead, forwarder: Forwarder
+) -> EntryRoute | GuardRoute | Refusal:
+    server = head.own.get(SERVER_HEADER, b"").decode("latin-1")
+    if server not in forwarder.guards:
+        return refuse_unrun(Reason.NO_SERVER)
+    customer = head.own.get(CUSTOMER_HEADER, b"").decode("latin-1")
+    priority = head.own.get(PRIORITY_HEADER, b"")
+    rank = int(priority) if priority.isdigit() else LEAST_PRIORITY
+    timeout_s = _read_timeout(head, TIMEOUT_HEADER, forwarder.limits.call_s)
+    idempotent = head.own.get(IDEMPOTENT_HEADER) == b"1"
+    return GuardRoute(server, customer, rank, idempotent, forwarder.now + timeout_s)
+
+
+def _find_token(head: RequestHead) -> bytes:
+    credentials = head.authorization
+    if not credentials.startswith(_BEARER):
+        return b""
+    return credentials[len(_BEARER) :]
+
+
+def _read_timeout(head: RequestHead, name: bytes, default_s: float) -> float:
+    """Return the seconds that the sender of a request will wait."""
+    given = head.own.get(name, b"")
+    if given.isdigit() and len(given) <= len(str(MAX_TIMEOUT_MS)):
+        return min(int(given), MAX_TIMEOUT_MS) / 1000
+    return default_s
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -8,7 +8,12 @@
 
 from monsoontray.decisions.outcomes import Reason
 from monsoontray.forwarding.connection import Connection, prepare_socket
-from monsoontray.forwarding.heads import END_OF_MESSAGE, EndOfMessage, ResponseHead
+from monsoontray.forwarding.heads import (
+    END_OF_MESSAGE,
+    EndOfMessage,
+    Framing,
+    ResponseHead,
+)
 from monsoontray.forwarding.parsing import Malformed, ResponseParser
 from monsoontray.kernel.sockets import BROKEN, READABLE, WRITABLE
 
@@ -26,12 +31,15 @@
 
     __slots__ = (
         "_connect_timer",
+        "_foreign",
         "_keep_alive",
         "_parser",
+        "_until_close",
         "address",
         "call",
         "connected",
         "idle_deadline",
+        "keep_alive_s",
         "spent",
     )
 
@@ -44,8 +52,12 @@
         self.connected = False
         self.idle_deadline = 0.0
         self.spent = False  # no further request may be sent on it
+        self.keep_alive_s = 0.0  # how long the other end keeps the connection
         self._keep_alive = True
-        self._parser = ResponseParser(forwarder.limits.head)
+        self._foreign = False  # a response to another call is arriving
+        self._until_close = False  # the response ends with the connection
+        names = forwarder.vocabulary.get_response_names()
+        self._parser = ResponseParser(forwarder.limits.head, names)
         deadline = forwarder.now + forwarder.limits.connect_s
         self._connect_timer: Timer | None = forwarder.timers.add(
             deadline, self._give_up_connecting
@@ -67,7 +79,7 @@
         """Act on received bytes."""
         events = self._parser.feed(data)
         if len(events) > 1 and END_OF_MESSAGE in events[:-1]:
-            self.spent = True
+            self.spent = True  # more than one response was sent
         for event in events:
             if self.call is None:
                 # Bytes that no request asked for must not pass for a response.
@@ -75,6 +87,13 @@
                 return
             _HANDLERS[event.__class__](event, self)
 
+    def on_end(self) -> None:
+        """Complete a response that ends with its connection."""
+        if self._until_close and not self._foreign and self.call is not None:
+            self.finish_response()
+        else:
+            self.on_lost()
+
     def on_lost(self) -> None:
         """Tell the call that its connection has ended."""
         self._lose(Reason.CONNECTION_LOST)
@@ -94,6 +113,9 @@
 
     def finish_response(self) -> None:
         """Pass on the end of a response and keep the connection if it is clean."""
+        if self._foreign:
+            self._foreign = False
+            return
         call = self.call
         assert call is not None
         self.call = None
@@ -107,8 +129,20 @@
     def note_head(self, head: ResponseHead) -> None:
         """Pass on the head of a response."""
         self._keep_alive = head.keep_alive
+        self._until_close = head.framing is Framing.UNTIL_CLOSE
+        if head.keep_alive_s:
+            self.keep_alive_s = head.keep_alive_s
         assert self.call is not None
-        self.call.on_response_head(head)
+        if not self.call.on_response_head(head):
+            # A late response to an earlier call; the one that is due follows it.
+            self._foreign = True
+            self.spent = True
+
+    def take_body(self, part: bytes) -> None:
+        """Pass on a part of a response's body."""
+        if not self._foreign:
+            assert self.call is not None
+            self.call.on_response_body(part)
 
     def reject(self, malformed: Malformed) -> None:
         """Give up a connection whose response can't be read."""
@@ -160,13 +194,19 @@
     def take(self, address: Address) -> UpstreamConnection:
         """Return an idle connection or a new one; raise OSError."""
         idle = self._idle.get(address)
-        if idle:
-            return idle.pop()
+        while idle:
+            connection = idle.pop()
+            if connection.idle_deadline > self._forwarder.now:
+                return connection
+            connection.close()
         return self._open(address)
 
     def keep(self, connection: UpstreamConnection) -> None:
         """Keep an idle connection for the next call."""
-        connection.idle_deadline = self._forwarder.now + self._idle_s
+        idle_s = self._idle_s
+        if connection.keep_alive_s:
+            idle_s = min(idle_s, connection.keep_alive_s * IDLE_SHARE)
+        connection.idle_deadline = self._forwarder.now + idle_s
         if not self._sweep_set:
             self._sweep_set = True
             self._forwarder.timers.add(connection.idle_deadline, self._sweep)
@@ -229,8 +269,7 @@
 
 @accept_event.register(bytes)
 def _(event: bytes, upstream: UpstreamConnection) -> None:
-    assert upstream.call is not None
-    upstream.call.on_response_body(event)
+    upstream.take_body(event)
 
 
 @accept_event.register(EndOfMessage)
--- a/monsoontray/kernel/kernel.py
+++ b/monsoontray/kernel/kernel.py
@@ -47,6 +47,7 @@
     requires: tuple[str, ...]
     build: Callable[[Kernel], Service]
     on_death: DeathPolicy = DeathPolicy.STOP_NODE
+    follows: tuple[str, ...] = ()  # started before this one where registered
 
 
 class Kernel:
@@ -122,7 +123,8 @@
             for name in registration.requires:
                 if name not in self._registrations:
                     raise UnknownServiceError(name)
-            sorter.add(registration.name, *registration.requires)
+            known = [n for n in registration.follows if n in self._registrations]
+            sorter.add(registration.name, *registration.requires, *known)
         return list(sorter.static_order())
 
     def _recover(self, death: TaskDied) -> bool:
--- a/monsoontray/membership/messages.py
+++ b/monsoontray/membership/messages.py
@@ -27,11 +27,6 @@
     server: str
 
 
-@dataclass(slots=True, frozen=True)
-class NodeLeaves:
-    """Tell others that this node and its servers leave."""
-
-
 @dataclass(slots=True, frozen=True)
 class ExchangeReceived:
     """Answer an exchange that a peer began."""
--- a/monsoontray/membership/service.py
+++ b/monsoontray/membership/service.py
@@ -13,7 +13,12 @@
 from monsoontray.decisions.fleet import Fleet, NodeRecord, NodeState
 from monsoontray.decisions.marks import Mark, VersionMarks
 from monsoontray.decisions.servers import Place, ServerState
-from monsoontray.forwarding.messages import GuardServers, LocalServer, UseServers
+from monsoontray.forwarding.messages import (
+    GuardServers,
+    LocalServer,
+    NodeLeaves,
+    UseServers,
+)
 from monsoontray.kernel.kernel import DeathPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
 from monsoontray.membership.announcements import Announcements
@@ -25,7 +30,7 @@
     ExchangeFailed,
     ExchangeReceived,
     FleetState,
-    NodeLeaves,
+
     SeedsFound,
     SendExchange,
     ServerLeaves,
--- a/monsoontray/metrics/service.py
+++ b/monsoontray/metrics/service.py
@@ -5,7 +5,13 @@
 from collections.abc import Iterable
 from functools import lru_cache
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector
@@ -14,6 +20,8 @@
 from monsoontray.kernel.kernel import Kernel, Registration
 
 NAME = "metrics"
+#: Upper bounds in seconds; doubling from the time of one hop to a long deadline.
+CALL_BUCKETS_S = tuple(0.001 * 2**i for i in range(13))
 
 
 class ResponsesCollector(Collector):
@@ -67,6 +75,19 @@
         self._version = Gauge(
             "monsoontray_version", "Version in force", registry=self.registry
         )
+        self._seconds = Histogram(
+            "monsoontray_call_seconds",
+            "Time from a request's head to the end of its response, by side",
+            ("side",),
+            buckets=CALL_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._suppressed = Counter(
+            "monsoontray_suppressed_lines",
+            "Log lines about calls that were left out to bound the volume",
+            registry=self.registry,
+        )
+        self._find_seconds = lru_cache(2)(self._seconds.labels)
         self._find_refusals = lru_cache(len(Reason) * len(Ran))(self._refusals.labels)
         self._find_retries = lru_cache(len(Reason))(self._retries.labels)
 
@@ -92,6 +113,14 @@
         """Count a response cut short."""
         self._cuts.labels(reason).inc()
 
+    def observe_call(self, side: str, seconds: float) -> None:
+        """Take the time that a call with a whole response took."""
+        self._find_seconds(side).observe(seconds)
+
+    def count_suppressed_line(self) -> None:
+        """Count a log line that was left out."""
+        self._suppressed.inc()
+
     def count_cancelled(self) -> None:
         """Count a call whose caller had gone."""
         self._cancelled.inc()
--- a/monsoontray/node.py
+++ b/monsoontray/node.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from monsoontray.forwarding.interfaces import find_interface
 from monsoontray.kernel.clock import SystemClock
 from monsoontray.kernel.kernel import Kernel
 from monsoontray.kernel.messages import StopRequested
@@ -15,18 +16,31 @@
 from monsoontray.settings.service import register_settings
 from monsoontray.settings.settings import Settings
 
-#: Modules that offer ``setup(kernel)``, each one service.
-SERVICE_MODULES = (
-    "monsoontray.metrics.service",
-    "monsoontray.store.service",
-    "monsoontray.forwarding.forwarder",
-    "monsoontray.membership.service",
-    "monsoontray.membership.peers",
-    "monsoontray.configuration.service",
-    "monsoontray.configuration.acceptance",
-    "monsoontray.configuration.watcher",
-    "monsoontray.operators.service",
-)
+#: Modules that offer ``setup(kernel)``, each one service, by interface.
+SERVICE_MODULES = {
+    "plans": (
+        "monsoontray.metrics.service",
+        "monsoontray.store.service",
+        "monsoontray.forwarding.forwarder",
+        "monsoontray.membership.service",
+        "monsoontray.membership.peers",
+        "monsoontray.configuration.service",
+        "monsoontray.configuration.acceptance",
+        "monsoontray.configuration.watcher",
+        "monsoontray.operators.service",
+    ),
+    "platform": (
+        "monsoontray.metrics.service",
+        "monsoontray.store.service",
+        "monsoontray.forwarding.forwarder",
+        "monsoontray.discovery.service",
+        "monsoontray.discovery.publisher",
+        "monsoontray.discovery.watch",
+        "monsoontray.platform.operator",
+        "monsoontray.platform.endpoint",
+    ),
+}
+STOP_MARGIN_S = 0.5  # before the platform ends a process that does not stop
 EXIT_STOPPED = 0
 EXIT_FAILED = 70
 
@@ -39,9 +53,9 @@
         settings.get_text("node"),
         settings.get_text("log_file"),
     )
-    kernel = Kernel(SystemClock(), settings.get_seconds("stop_grace_ms"))
+    kernel = Kernel(SystemClock(), _find_stop_grace(settings))
     register_settings(kernel, settings)
-    for name in SERVICE_MODULES:
+    for name in SERVICE_MODULES[settings.get_text("interface")]:
         import_module(name).setup(kernel)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda got, frame: _request_stop(kernel, got, frame))
@@ -52,5 +66,12 @@
     return EXIT_FAILED if kernel.failed else EXIT_STOPPED
 
 
+def _find_stop_grace(settings: Settings) -> float:
+    """Return the seconds that a stop may take."""
+    bound_s = find_interface(settings).bounds.stop_limit_s
+    grace_s = settings.get_seconds("stop_grace_ms")
+    return min(grace_s, bound_s - STOP_MARGIN_S) if bound_s else grace_s
+
+
 def _request_stop(kernel: Kernel, number: int, frame: FrameType | None) -> None:
     kernel.post_to_kernel(StopRequested(signal.Signals(number).name))
--- /dev/null
+++ b/monsoontray/platform/endpoint.py
@@ -0,0 +1,159 @@
+"""The HTTP front end towards the platform: readiness, heartbeats and metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import cherrypy
+import msgspec
+from cherrypy._cpserver import Server
+from loguru import logger
+
+from monsoontray.discovery.messages import (
+    DescribeDiscovery,
+    ServerAnnounced,
+    ServerLeft,
+)
+from monsoontray.forwarding.messages import DescribeForwarding, ForwardingState
+from monsoontray.kernel.errors import KernelError
+from monsoontray.kernel.kernel import Kernel, Registration
+from monsoontray.platform.announcements import (
+    decode_deregistration,
+    decode_heartbeat,
+)
+
+if TYPE_CHECKING:
+    from monsoontray.settings.settings import Address, Settings
+
+NAME = "endpoint"
+THREADS = 2  # of each server; heartbeats come about once a second
+ASK_TIMEOUT_S = 0.8  # the platform waits a second for an answer
+MAX_BODY_BYTES = 65_536
+HEARTBEAT = "instances.heartbeat"
+DEREGISTRATION = "instances.deregister"
+
+
+class Endpoint:
+    """Translate the platform's requests to messages."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+
+    @cherrypy.expose
+    def readiness(self) -> bytes:
+        """Say whether callers may use this node."""
+        try:
+            state: ForwardingState = self._ask("forwarding", DescribeForwarding)
+        except KernelError:
+            cherrypy.response.status = 503
+            return b""
+        is_ready = state.version > 0 and state.servers > 0 and not state.stopping
+        cherrypy.response.status = 200 if is_ready else 503
+        return b""
+
+    @cherrypy.expose
+    def rpc(self, call: str = "", of: str = "") -> bytes:
+        """Take a backend server's heartbeat or deregistration."""
+        body: bytes = cherrypy.request.body.fp.read(MAX_BODY_BYTES)
+        try:
+            message = _read_call(call, of, body)
+        except (msgspec.DecodeError, ValueError) as error:
+            logger.bind(call=call, server=of).warning("announcement refused: {}", error)
+            return _write({"error": str(error)}, 400)
+        try:
+            self._ask("membership", message)
+        except KernelError as error:
+            return _write({"error": str(error)}, 503)
+        return _write({})
+
+    @cherrypy.expose
+    def metrics(self) -> bytes:
+        """Return the metrics."""
+        cherrypy.response.headers["Content-Type"] = "text/plain; version=0.0.4"
+        rendered: bytes = self._kernel.find("metrics").render()
+        return rendered
+
+    @cherrypy.expose
+    def status(self) -> bytes:
+        """Return what this node knows of itself and of others."""
+        forwarding = self._ask("forwarding", DescribeForwarding)
+        nodes = self._ask("membership", DescribeDiscovery)
+        shown = [msgspec.structs.asdict(node) for node in nodes]
+        return _write({"forwarding": forwarding, "nodes": shown})
+
+    def _ask(self, service: str, build: Callable[[Any], object]) -> Any:
+        deadline = self._kernel.clock.now() + ASK_TIMEOUT_S
+        return self._kernel.ask(service, build, deadline)
+
+
+class EndpointService:
+    """Own the CherryPy servers."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        settings: Settings = kernel.find("settings").settings
+        names = ("operator_address", "ready_address", "metrics_address")
+        self._addresses = {
+            settings.get_address(name) for name in names if settings.get_text(name)
+        }
+        self._endpoint = Endpoint(kernel)
+
+    def start(self) -> None:
+        """Serve the platform; raise OSError when an address is taken."""
+        cherrypy.config.update(
+            {
+                "engine.autoreload.on": False,
+                "checker.on": False,
+                "log.screen": False,
+                "request.show_tracebacks": False,
+                "tools.encode.on": False,
+            }
+        )
+        as_sent = {"/": {"request.process_request_body": False}}
+        cherrypy.tree.mount(self._endpoint, "/", as_sent)
+        cherrypy.engine.signals.subscriptions = {}
+        cherrypy.server.unsubscribe()
+        for address in self._addresses:
+            _build_server(address).subscribe()
+        cherrypy.engine.start()
+
+    def stop(self, deadline: float) -> None:
+        """Stop serving."""
+        cherrypy.engine.exit()
+
+    def post(self, message: object) -> None:
+        """Reject messages; the service takes none."""
+        raise TypeError(f"the endpoint takes no messages: {message!r}")
+
+
+def _build_server(address: Address) -> Server:
+    server = Server()
+    server.socket_host = address.host
+    server.socket_port = address.port
+    server.thread_pool = THREADS
+    server.max_request_body_size = MAX_BODY_BYTES
+    return server
+
+
+def _read_call(call: str, server: str, body: bytes) -> Callable[[Any], object]:
+    if not server:
+        raise ValueError("'of' must name a backend server")
+    if call == HEARTBEAT:
+        announcement = decode_heartbeat(server, body)
+        return lambda reply: ServerAnnounced(announcement, reply)
+    if call == DEREGISTRATION:
+        born = decode_deregistration(body)
+        return lambda reply: ServerLeft(server, born, reply)
+    raise ValueError(f"'call' is {call!r}, which is not served")
+
+
+def _write(value: object, status: int = 200) -> bytes:
+    cherrypy.response.status = status
+    cherrypy.response.headers["Content-Type"] = "application/json"
+    return msgspec.json.encode(value)
+
+
+def setup(kernel: Kernel) -> None:
+    """Register the service."""
+    requires = ("settings", "metrics", "membership")
+    kernel.register(Registration(NAME, requires, EndpointService))
--- /dev/null
+++ b/monsoontray/platform/operator.py
@@ -0,0 +1,108 @@
+"""Decode what the platform's operator writes, and tell the product."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from loguru import logger
+
+from monsoontray.decisions.routing import RouteTable
+from monsoontray.discovery.messages import StoreChanged, StoreListed
+from monsoontray.forwarding.messages import EvacuateZones, UseRoutes
+from monsoontray.kernel.kernel import Kernel, Registration
+from monsoontray.kernel.task import Task
+from monsoontray.platform.routes import decode_routes
+
+if TYPE_CHECKING:
+    from monsoontray.store.outcomes import Record
+
+NAME = "operator"
+CONFIG_KEY = "op/config"
+EVACUATE_PREFIX = "op/evacuate/"
+
+
+class Operator(Task):
+    """Own what the platform's operator has ordered."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(NAME, kernel, handle_message)
+        self._number = 0
+        self._evacuated: frozenset[str] = frozenset()
+
+    def list_all(self, records: tuple[Record, ...]) -> None:
+        """Take every order that holds."""
+        zones = set()
+        for record in records:
+            if record.key.startswith(EVACUATE_PREFIX):
+                zones.add(record.key.removeprefix(EVACUATE_PREFIX))
+            else:
+                self._take(record)
+        self._evacuate(frozenset(zones))
+
+    def take_changes(self, message: StoreChanged) -> None:
+        """Take orders that were written or taken back."""
+        zones = set(self._evacuated)
+        # A key may be removed and written within one batch: the later event holds.
+        events = [(record, False) for record in message.records]
+        events += [(record, True) for record in message.removed]
+        for record, removed in sorted(events, key=lambda event: event[0].revision):
+            zone = record.key.removeprefix(EVACUATE_PREFIX)
+            if zone == record.key:
+                if not removed:
+                    self._take(record)
+            elif removed:
+                zones.discard(zone)
+            else:
+                zones.add(zone)
+        self._evacuate(frozenset(zones))
+
+    def _take(self, record: Record) -> None:
+        if record.key == CONFIG_KEY:
+            self._take_routes(record)
+
+    def _take_routes(self, record: Record) -> None:
+        try:
+            routes = decode_routes(record.value)
+        except (msgspec.DecodeError, ValueError) as error:
+            self.kernel.find("metrics").count_version_refused()
+            logger.bind(revision=record.revision).error(
+                "configuration refused, the one in force stays: {}", error
+            )
+            return
+        if routes.number <= self._number:
+            return
+        self._number = routes.number
+        self.kernel.post("forwarding", UseRoutes(RouteTable(routes)))
+        self.kernel.find("metrics").set_version(routes.number)
+        logger.bind(
+            version=routes.number, revision=record.revision, routes=len(routes.routes)
+        ).info("configuration in force")
+
+    def _evacuate(self, zones: frozenset[str]) -> None:
+        if zones != self._evacuated:
+            self._evacuated = zones
+            self.kernel.post("forwarding", EvacuateZones(zones))
+            logger.bind(zones=sorted(zones)).info("evacuated zones changed")
+
+
+@singledispatch
+def handle_message(message: Any, operator: Operator) -> None:
+    """Act on a message."""
+    raise TypeError(f"no such message: {message!r}")
+
+
+@handle_message.register(StoreListed)
+def _(message: StoreListed, operator: Operator) -> None:
+    operator.list_all(message.records)
+
+
+@handle_message.register(StoreChanged)
+def _(message: StoreChanged, operator: Operator) -> None:
+    operator.take_changes(message)
+
+
+def setup(kernel: Kernel) -> None:
+    """Register the service."""
+    kernel.register(Registration(NAME, ("settings", "metrics"), Operator))
--- a/monsoontray/settings/settings.py
+++ b/monsoontray/settings/settings.py
@@ -13,7 +13,13 @@
 from monsoontray.settings.declarations import DECLARATIONS, Declaration
 from monsoontray.settings.errors import SettingsError
 
-_KIND_NAMES = {str: "a string", int: "a whole number", list: "a list of strings"}
+_KIND_NAMES = {
+    str: "a string",
+    int: "a whole number",
+    float: "a number",
+    list: "a list of strings",
+}
+_KINDS: dict[type, tuple[type, ...]] = {float: (int, float)}
 MS_PER_S = 1000.0
 
 
@@ -44,6 +50,10 @@
         """Return a setting that is a whole number."""
         return int(self._values[name])
 
+    def get_float(self, name: str) -> float:
+        """Return a setting that is a number."""
+        return float(self._values[name])
+
     def get_seconds(self, name: str) -> float:
         """Return a setting in milliseconds as seconds."""
         return float(self._values[name]) / MS_PER_S
@@ -118,12 +128,13 @@
             raise SettingsError(f"setting {name!r} is missing")
         return declaration.default
     value = document[name]
-    if not isinstance(value, declaration.kind) or isinstance(value, bool):
+    kinds = _KINDS.get(declaration.kind, (declaration.kind,))
+    if not isinstance(value, kinds) or isinstance(value, bool):
         wanted = _KIND_NAMES[declaration.kind]
         raise SettingsError(f"setting {name!r} must be {wanted}, not {value!r}")
     if isinstance(value, list):
         _check_list(declaration, value)
-    if isinstance(value, int):
+    if isinstance(value, int | float):
         _check_range(declaration, value)
     if isinstance(value, str):
         _check_text(declaration, value)
--- a/tests/test_decisions/test_retries.py
+++ b/tests/test_decisions/test_retries.py
@@ -10,7 +10,9 @@
     decide_after_failure,
 )
 
-ATTEMPT = Attempt("GET", 1, 10.0, sent=True, response_started=False, body_kept=True)
+ATTEMPT = Attempt(
+    True, 1, 10.0, Ran.UNKNOWN, response_started=False, body_kept=True
+)
 LOST = Reason.CONNECTION_LOST
 
 
@@ -23,19 +25,19 @@
 
 
 def test_a_call_that_may_have_run_is_not_sent_again():
-    posted = replace(ATTEMPT, method="POST")
+    posted = replace(ATTEMPT, idempotent=False)
     assert decide(posted) == Refusal(LOST, Ran.UNKNOWN)
 
 
 def test_a_call_that_certainly_did_not_run_is_sent_again():
-    assert decide(replace(ATTEMPT, method="POST", sent=False)) == Retry(LOST)
+    assert decide(replace(ATTEMPT, idempotent=False, ran=Ran.NOT_RUN)) == Retry(LOST)
 
 
 def test_attempts_deadline_and_body_bound_the_retries():
     assert decide(replace(ATTEMPT, number=3)) == Refusal(LOST, Ran.UNKNOWN)
     assert decide(ATTEMPT, now=10.0) == Refusal(LOST, Ran.UNKNOWN)
     assert decide(replace(ATTEMPT, body_kept=False)) == Refusal(LOST, Ran.UNKNOWN)
-    unsent = replace(ATTEMPT, number=3, sent=False)
+    unsent = replace(ATTEMPT, number=3, ran=Ran.NOT_RUN)
     assert decide(unsent) == Refusal(LOST, Ran.NOT_RUN)
 
 
