Decide rollouts: canary, steps, brakes at the guards

Change: a plan in the store, moved by one node at a time under a condition; guards weigh each call of the new version and stop at once when it fails.

--- a/monsoontray/decisions/directory.py
+++ b/monsoontray/decisions/directory.py
@@ -31,6 +31,7 @@
     region: str
     zone: str
     guard_address: str
+    peer_address: str
     incarnation: int  # nanoseconds since the epoch at which the process started
     stopping: bool
     server: ListedServer | None
@@ -95,9 +96,7 @@
         return ServerTable(
             _build_endpoint(node, node.server, name in self._unlisted_until)
             for name, node in self._nodes.items()
-            if node.server is not None
-            and not node.server.leaving
-            and not node.stopping
+            if node.server is not None and not node.server.leaving and not node.stopping
         )
 
     def _forget(self, name: str) -> None:
@@ -110,9 +109,7 @@
     return ServerState.LEAVING if server.leaving else ServerState.SERVING
 
 
-def _build_endpoint(
-    node: ListedNode, server: ListedServer, unlisted: bool
-) -> Endpoint:
+def _build_endpoint(node: ListedNode, server: ListedServer, unlisted: bool) -> Endpoint:
     return Endpoint(
         server=server.server,
         service=server.service,
--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -9,9 +9,11 @@
 from typing import Any
 
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_unrun
+from monsoontray.decisions.rollouts import Suspicion
 from monsoontray.decisions.servers import LoadReport, ServerRecord, ServerState
 
 COLD_WINDOW_S = 1.1  # a cold server's bound holds for each second; some to spare
+COLD_SHARE = 0.85  # of the bound: calls of a former process of the node may be on it
 SERVICE_WEIGHT = 0.1  # of the latest call in the mean service time
 SERVICE_SHARE = 0.7  # of the mean service time that a call needs at least
 RECHECK_S = 0.1  # time after which waiting calls are looked at again
@@ -60,6 +62,7 @@
         "queue_limit",
         "record",
         "service_s",
+        "suspicion",
         "waiting",
     )
 
@@ -75,6 +78,7 @@
         #: Whether the server announced itself since it was last in doubt. Until
         #: then it is treated as cold, since it may have started anew.
         self.confirmed = True
+        self.suspicion = Suspicion()
         self._cold = cold or ColdLimits()
         self._starts: deque[float] = deque()
         self._queue: list[tuple[int, float, int, Waiting]] = []
@@ -165,7 +169,8 @@
         if not self.is_cold(now):
             return True
         self._drop_old_starts(now)
-        limit = self.record.cold_per_s * self._cold.factor + self._cold.slack
+        bound = self.record.cold_per_s * self._cold.factor + self._cold.slack
+        limit = bound * COLD_SHARE
         return len(self._starts) + 1 <= limit
 
     def _drop_old_starts(self, now: float) -> None:
--- /dev/null
+++ b/monsoontray/decisions/rollouts.py
@@ -0,0 +1,194 @@
+"""Decide how far a new version of a service takes over its calls."""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from monsoontray.decisions.servers import Endpoint
+
+#: A failing call is this likely of a sound version, in the midst of other faults,
+#: and of a bad one.
+SOUND_FAILURES = 0.05
+BAD_FAILURES = 0.30
+#: Evidence at which a server's calls are taken as those of a bad version: odds of
+#: about 150 to 1.
+SUSPICION_LIMIT = 5.0
+#: A call that takes this many times as long as the old version's counts as failed.
+SLOW_FACTOR = 4.0
+MIN_SLOW_S = 0.05  # shorter calls are not told apart from noise
+MIN_EVIDENCE = 20  # calls of the new version before it gets more
+SUSPECTS = 2  # servers that must fail alike, so that it is not a single fault
+MEAN_WEIGHT = 0.1  # of the latest call in the mean time of a route
+
+_FAILURE_EVIDENCE = math.log(BAD_FAILURES / SOUND_FAILURES)
+_SUCCESS_EVIDENCE = math.log((1.0 - BAD_FAILURES) / (1.0 - SOUND_FAILURES))
+
+
+class Phase(enum.Enum):
+    """Name how far a rollout has come."""
+
+    WAITING = "waiting"  # no server of the version has been seen yet
+    CANARY = "canary"
+    QUARTER = "quarter"
+    HALF = "half"
+    FULL = "full"
+    DONE = "done"
+    ROLLED_BACK = "rolled-back"
+
+
+#: Share of a service's calls that the new version gets in each phase.
+SHARES = {
+    Phase.WAITING: 0.0,
+    Phase.CANARY: 0.04,
+    Phase.QUARTER: 0.25,
+    Phase.HALF: 0.5,
+    Phase.FULL: 1.0,
+    Phase.DONE: 1.0,
+    Phase.ROLLED_BACK: 0.0,
+}
+#: The phase that follows, and the part of the period after which it does.
+_STEPS = {
+    Phase.CANARY: (Phase.QUARTER, 0.40),
+    Phase.QUARTER: (Phase.HALF, 0.52),
+    Phase.HALF: (Phase.FULL, 0.64),
+    Phase.FULL: (Phase.DONE, 0.80),
+}
+DECIDED = frozenset((Phase.DONE, Phase.ROLLED_BACK))
+MIN_PHASE_S = 1.0  # a phase shows nothing in less time
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """Hold how far a rollout has come, as all nodes know it."""
+
+    order: int  # revision of the operator's order
+    service: str
+    target: str  # the version that takes over
+    period_s: float
+    phase: Phase
+    elapsed_s: float  # since the order, when this was written
+    #: Mean seconds that the old version takes for a call, by route.
+    baseline: dict[str, float] = {}
+
+
+@dataclass(slots=True, frozen=True)
+class ServerEvidence:
+    """Hold what one guard has seen of its server's calls."""
+
+    version: str
+    calls: int
+    suspected: bool
+    means: Mapping[str, float]  # seconds that a call takes, by route
+
+
+class Suspicion:
+    """Weigh a server's calls for and against its version being bad.
+
+    A sum of log-likelihood ratios that is never below zero, so that a version
+    which turns bad late is found as fast as one which was bad from the start.
+    It is kept for all calls and for each route.
+    """
+
+    __slots__ = ("_evidence", "calls", "means")
+
+    def __init__(self) -> None:
+        self._evidence: dict[str, float] = {}
+        self.calls = 0
+        self.means: dict[str, float] = {}
+
+    def note(
+        self, route: str, seconds: float, failed: bool, baseline_s: float | None
+    ) -> None:
+        """Take a call that has ended."""
+        self.calls += 1
+        mean = self.means.get(route, seconds)
+        self.means[route] = mean + (seconds - mean) * MEAN_WEIGHT
+        if baseline_s is not None:
+            failed = failed or seconds > max(MIN_SLOW_S, SLOW_FACTOR * baseline_s)
+        step = _FAILURE_EVIDENCE if failed else _SUCCESS_EVIDENCE
+        for key in ("", route):
+            evidence = self._evidence.get(key, 0.0) + step
+            self._evidence[key] = max(0.0, evidence)
+
+    def is_suspected(self) -> bool:
+        """Say whether the calls speak against the version."""
+        return any(value >= SUSPICION_LIMIT for value in self._evidence.values())
+
+    def clear(self) -> None:
+        """Forget the evidence, not the mean times."""
+        self._evidence.clear()
+
+
+def decide_phase(
+    plan: Plan,
+    elapsed_s: float,
+    in_phase_s: float,
+    evidence: Collection[ServerEvidence],
+) -> Phase:
+    """Return the phase that a rollout should be in."""
+    if plan.phase in DECIDED:
+        return plan.phase
+    new = [each for each in evidence if each.version == plan.target]
+    old = [each for each in evidence if each.version != plan.target]
+    if is_version_bad(new, old):
+        return Phase.ROLLED_BACK
+    if plan.phase is Phase.WAITING:
+        return Phase.CANARY if new else Phase.WAITING
+    following, part = _STEPS[plan.phase]
+    if elapsed_s < part * plan.period_s or in_phase_s < MIN_PHASE_S:
+        return plan.phase
+    if sum(each.calls for each in new) < MIN_EVIDENCE:
+        return plan.phase
+    if any(each.suspected for each in new):
+        return plan.phase
+    return following
+
+
+def is_version_bad(
+    new: Collection[ServerEvidence], old: Collection[ServerEvidence]
+) -> bool:
+    """Say whether the servers of a new version fail, unlike those of the old one."""
+    suspects = sum(each.suspected for each in new)
+    if not suspects:
+        return False
+    tried = sum(1 for each in new if each.calls)
+    if suspects < min(SUSPECTS, tried):
+        return False
+    old_suspects = sum(each.suspected for each in old)
+    return old_suspects * 2 <= len(old)
+
+
+def average_means(evidence: Collection[ServerEvidence]) -> dict[str, float]:
+    """Return the mean seconds for a call by route, over servers."""
+    collected: dict[str, list[float]] = {}
+    for each in evidence:
+        for route, mean in each.means.items():
+            collected.setdefault(route, []).append(mean)
+    return {route: sum(means) / len(means) for route, means in collected.items()}
+
+
+def is_blocked(plan: Plan | None, version: str) -> bool:
+    """Say whether servers of a version get nothing at all."""
+    return plan is not None and version == plan.target and SHARES[plan.phase] == 0.0
+
+
+def select_servers(
+    plan: Plan, servers: Collection[Endpoint], is_retry: bool, draw: float
+) -> list[Endpoint]:
+    """Return the servers that a call may go to; ``draw`` is a random share."""
+    new = [each for each in servers if each.version == plan.target]
+    old = [each for each in servers if each.version != plan.target]
+    share = SHARES[plan.phase]
+    if share == 0.0:
+        return old
+    if plan.phase is Phase.DONE:
+        return new or old
+    if is_retry:
+        return old or new
+    if draw < share:
+        return new or old
+    return old
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -144,6 +144,7 @@
             region=self._settings.get_text("region"),
             zone=self._settings.get_text("zone"),
             guard_address=self._settings.get_text("guard_address"),
+            peer_address=self._settings.get_text("peer_address"),
             incarnation=self._incarnation,
             stopping=self._stopping,
             server=server,
--- a/monsoontray/discovery/watch.py
+++ b/monsoontray/discovery/watch.py
@@ -20,7 +20,11 @@
 
 NAME = "store-watch"
 #: The services that hear of each change, and the key prefixes they hear of.
-SUBSCRIBERS = (("operator", ("op/", "status/")), ("membership", ("nodes/",)))
+SUBSCRIBERS = (
+    ("rollouts", ("rollouts/",)),
+    ("operator", ("op/",)),
+    ("membership", ("nodes/",)),
+)
 EVERYTHING = ""
 FIRST_RETRY_S = 0.1  # pause after a first failed call, doubled up to the last
 LAST_RETRY_S = 0.8
@@ -115,5 +119,5 @@
 
 def setup(kernel: Kernel) -> None:
     """Register the service."""
-    requires = ("settings", "store", "operator", "membership")
+    requires = ("settings", "store", "operator", "membership", "rollouts")
     kernel.register(Registration(NAME, requires, StoreWatch))
--- a/monsoontray/forwarding/attempts.py
+++ b/monsoontray/forwarding/attempts.py
@@ -13,6 +13,7 @@
     CUSTOMER_HEADER,
     IDEMPOTENT_HEADER,
     PRIORITY_HEADER,
+    ROUTE_HEADER,
     SERVER_HEADER,
     EntryRoute,
     GuardRoute,
@@ -37,7 +38,7 @@
 def _(route: EntryRoute, call: Call) -> None:
     forwarder = call.forwarder
     endpoint = choose_server(
-        forwarder.find_candidates(route.service),
+        forwarder.find_candidates(route.service, bool(call.tried)),
         route.resource,
         forwarder.place,
         call.tried,
@@ -120,6 +121,8 @@
         encode_line(CUSTOMER_HEADER, route.customer.encode("latin-1")),
         encode_line(PRIORITY_HEADER, b"%d" % route.priority),
     ]
+    if route.name:
+        lines.append(encode_line(ROUTE_HEADER, route.name.encode("latin-1")))
     if route.idempotent:
         lines.append(encode_line(IDEMPOTENT_HEADER, b"1"))
     return Hop(parse_address(endpoint.guard_address), True, tuple(lines))
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -217,6 +217,8 @@
             return False
         if isinstance(verdict, Refusal):
             self._drop_upstream()
+            if verdict.ran is Ran.UNKNOWN:
+                self._note_outcome(True)
             self.fail_attempt(verdict)
             return True
         if self._id_line:
@@ -254,9 +256,6 @@
             if held.head.status >= FIRST_FAILURE_STATUS and self._try_replace():
                 return
             self._release_held(held)
-        guard = self.guard
-        if guard is not None:
-            guard.note_service(self.now - self._slot_since)
         self._note_outcome(self._is_failure(held))
         self._end()
         self.forwarder.count_response(self)
@@ -307,6 +306,7 @@
 
     def cancel(self) -> None:
         """Stop working for a caller that has gone."""
+        self._note_unfinished()
         self._drop_upstream()
         self._end()
         self.forwarder.count_cancelled(self)
@@ -390,8 +390,21 @@
         return held is not None and held.head.status >= FIRST_FAILURE_STATUS
 
     def _note_outcome(self, failed: bool) -> None:
+        """Take how a call that a server took has ended."""
         if self.server:
             self.forwarder.loads.note_outcome(self.server, failed)
+        guard = self.guard
+        if guard is not None:
+            seconds = self.now - self._slot_since
+            guard.note_service(seconds)
+            self.forwarder.weigh_call(guard, self.route.name, seconds, failed)
+
+    def _note_unfinished(self) -> None:
+        """Take that a call was given up while a server was at work on it."""
+        guard = self.guard
+        if guard is not None and self._sent:
+            seconds = self.now - self._slot_since
+            self.forwarder.weigh_unfinished(guard, self.route.name, seconds)
 
     def _follow_guard_refusal(self, refusal: Refusal) -> None:
         self._guard_refusal = None
@@ -420,6 +433,7 @@
             upstream.close()
 
     def _pass_deadline(self) -> None:
+        self._note_unfinished()
         if self.response_started:
             self._drop_upstream()
             self._end()
--- a/monsoontray/forwarding/connection.py
+++ b/monsoontray/forwarding/connection.py
@@ -158,6 +158,4 @@
     sock.setblocking(False)
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
-        )
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -10,6 +10,8 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+from loguru import logger
+
 from monsoontray.decisions.admission import NO_ENTITLEMENTS
 from monsoontray.decisions.budget import RetryBudget
 from monsoontray.decisions.guard import RECHECK_S, ColdLimits, GuardState
@@ -44,10 +46,13 @@
 from monsoontray.forwarding.routes import EntryRoute
 from monsoontray.forwarding.sides import find_route
 from monsoontray.forwarding.upstream import UpstreamPool
+from monsoontray.forwarding.versions import VersionGate, read_evidence
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.kernel.sockets import SocketTask
+from monsoontray.rollouts.messages import ReadEvidence, UsePlans, VersionSuspected
 
 if TYPE_CHECKING:
+    from monsoontray.decisions.rollouts import Plan
     from monsoontray.decisions.routing import RouteTable
     from monsoontray.forwarding.connection import Connection
     from monsoontray.forwarding.exchange import Exchange
@@ -98,6 +103,7 @@
         self._report = Report(self)
         self._fleet_size = 1
         self._stop_deadline = 0.0
+        self._versions = VersionGate()
         self._evacuated: frozenset[str] = frozenset()
         self._budgets: dict[str, RetryBudget] = {}
         self._callers: set[CallerConnection] = set()
@@ -177,10 +183,10 @@
         self._calls.discard(call)
         self._end_if_done()
 
-    def find_candidates(self, service: str) -> list[Endpoint]:
-        """Return the servers of a service that may take calls now."""
+    def find_candidates(self, service: str, is_retry: bool) -> list[Endpoint]:
+        """Return the servers of a service that may take a call now."""
         heard_since = self.now - HEARD_S
-        return [
+        usable = [
             each
             for each in self.servers.find(service)
             if each.zone not in self._evacuated
@@ -188,6 +194,7 @@
                 not each.unlisted or self.loads.get_heard_at(each.server) > heard_since
             )
         ]
+        return self._versions.select(service, usable, is_retry, self.random)
 
     def release_slot(self, guard: GuardState) -> None:
         """Free a slot and pass it to the call that waits for it."""
@@ -210,6 +217,32 @@
                 "membership", ServerDoubted(guard.record.server, reason.value)
             )
 
+    def weigh_call(
+        self, guard: GuardState, route: str, seconds: float, failed: bool
+    ) -> None:
+        """Take how a local server's call has ended, in case it is on trial."""
+        if not self._versions.weigh(guard, route, seconds, failed, self.now):
+            return
+        self._close_guards()
+        self.timers.add(self._versions.get_brake_deadline(), self._release_brake)
+        self.kernel.post("rollouts", VersionSuspected(guard.record.service))
+        logger.bind(
+            server=guard.record.server,
+            server_version=guard.record.version,
+            route=route,
+            calls=guard.suspicion.calls,
+        ).warning("version is suspected; its server gets nothing for now")
+
+    def weigh_unfinished(self, guard: GuardState, route: str, seconds: float) -> None:
+        """Take a call that was given up while a local server was at work on it."""
+        if self._versions.is_too_slow(guard, route, seconds):
+            self.weigh_call(guard, route, seconds, True)
+
+    def use_plans(self, plans: tuple[Plan, ...]) -> None:
+        """Take the changed plans of rollouts."""
+        self._versions.use_plans(plans)
+        self._close_guards()
+
     def leave_queues(self, call: Call) -> None:
         """Remove a call from the queue that it may wait in."""
         for guard in self.guards.values():
@@ -252,6 +285,7 @@
         )
         for guard in self.guards.values():
             guard.record = self._complete(guard.record)
+        self._close_guards()
 
     def evacuate(self, zones: frozenset[str]) -> None:
         """Send nothing to the servers of some zones."""
@@ -328,10 +362,14 @@
         )
 
     def _close_guards(self) -> None:
-        """Pass nothing on to local servers while their zone is evacuated."""
+        """Pass nothing on to local servers that may get nothing now."""
         is_out = self.place.zone in self._evacuated
-        closed = Reason.ZONE_EVACUATED if is_out else None
         for guard in self.guards.values():
+            closed = Reason.ZONE_EVACUATED if is_out else None
+            if self.vocabulary.callers_name_calls and self.route_table is None:
+                # What a cold server bears is not known yet.
+                closed = Reason.NO_VERSION
+            closed = closed or self._versions.find_closed_reason(guard, self.now)
             guard.closed = closed
             if closed is None:
                 continue
@@ -362,6 +400,11 @@
         self._call_count += 1
         return f"{self.place.node}-{self._call_count:x}"
 
+    def _release_brake(self) -> None:
+        for guard in self.guards.values():
+            guard.suspicion.clear()
+        self._close_guards()
+
     def _recheck(self, server: str) -> None:
         self._rechecks.discard(server)
         guard = self.guards.get(server)
@@ -422,6 +465,16 @@
     forwarder.use_local_servers(message)
 
 
+@handle_message.register(UsePlans)
+def _(message: UsePlans, forwarder: Forwarder) -> None:
+    forwarder.use_plans(message.plans)
+
+
+@handle_message.register(ReadEvidence)
+def _(message: ReadEvidence, forwarder: Forwarder) -> None:
+    message.reply.put(read_evidence(forwarder.guards.values()))
+
+
 @handle_message.register(DescribeForwarding)
 def _(message: DescribeForwarding, forwarder: Forwarder) -> None:
     message.reply.put(forwarder.describe())
@@ -431,6 +484,7 @@
     """Register the service."""
     # Calls are taken last at the start and given up first at the stop, while the
     # services that carry news still run.
-    follows = ("configuration", "peers", "watcher", "operator", "endpoint")
+    follows = ("configuration", "peers", "watcher", "operator", "store-watch",
+               "endpoint")  # fmt: skip
     requires = ("settings", "metrics", "membership")
     kernel.register(Registration(NAME, requires, Forwarder, follows=follows))
--- a/monsoontray/forwarding/parsing.py
+++ b/monsoontray/forwarding/parsing.py
@@ -63,9 +63,7 @@
         "open_head",
     )
 
-    def __init__(
-        self, limits: HeadLimits, names: HeaderNames = OWN_NAMES_ONLY
-    ) -> None:
+    def __init__(self, limits: HeadLimits, names: HeaderNames = OWN_NAMES_ONLY) -> None:
         super().__init__(names)
         self._limits = limits
         self._parser = httptools.HttpRequestParser(self)
@@ -152,9 +150,7 @@
         "_unread",
     )
 
-    def __init__(
-        self, limits: HeadLimits, names: HeaderNames = OWN_NAMES_ONLY
-    ) -> None:
+    def __init__(self, limits: HeadLimits, names: HeaderNames = OWN_NAMES_ONLY) -> None:
         super().__init__(names)
         self._limits = limits
         self._events: list[ResponseEvent] = []
--- a/monsoontray/forwarding/refusals.py
+++ b/monsoontray/forwarding/refusals.py
@@ -114,9 +114,7 @@
     return Refusal(_REASONS.get(reason, Reason.BAD_RESPONSE), ran, retry_after_s)
 
 
-def _encode(
-    status: HTTPStatus, lines: list[bytes], body: bytes, closes: bool
-) -> bytes:
+def _encode(status: HTTPStatus, lines: list[bytes], body: bytes, closes: bool) -> bytes:
     if closes:
         lines.append(CLOSE_LINE)
     return encode_response(status, lines, Framing.LENGTH, len(body)) + body
--- a/monsoontray/forwarding/routes.py
+++ b/monsoontray/forwarding/routes.py
@@ -11,6 +11,7 @@
 PRIORITY_HEADER = b"monsoontray-priority"
 IDEMPOTENT_HEADER = b"monsoontray-idempotent"
 TIMEOUT_HEADER = b"monsoontray-timeout-ms"
+ROUTE_HEADER = b"monsoontray-route"
 LOAD_HEADER = b"monsoontray-load"
 LEAST_PRIORITY = 9
 
@@ -38,10 +39,12 @@
     priority: int
     idempotent: bool
     deadline: float
+    name: str  # of the route or plan
 
-    #: A guard offers a call to its own server only, and once.
-    max_attempts = 1
-    name = ""
+    @property
+    def max_attempts(self) -> int:
+        """Return 1: a guard offers a call to its own server only, and once."""
+        return 1
 
 
 @dataclass(slots=True, frozen=True)
--- a/monsoontray/forwarding/sides.py
+++ b/monsoontray/forwarding/sides.py
@@ -10,12 +10,18 @@
 from monsoontray.decisions.outcomes import Reason, Refusal, refuse_unrun
 from monsoontray.decisions.paths import reduce_target
 from monsoontray.decisions.retries import is_idempotent_method
-from monsoontray.forwarding.heads import HeaderNames, RequestHead, encode_line
+from monsoontray.forwarding.heads import (
+    OWN_NAMES_ONLY,
+    HeaderNames,
+    RequestHead,
+    encode_line,
+)
 from monsoontray.forwarding.routes import (
     CUSTOMER_HEADER,
     IDEMPOTENT_HEADER,
     LEAST_PRIORITY,
     PRIORITY_HEADER,
+    ROUTE_HEADER,
     SERVER_HEADER,
     TIMEOUT_HEADER,
     EntryRoute,
@@ -34,7 +40,7 @@
 class PlanEntrySide:
     """Mark calls of partner routers, which customers' plans admit."""
 
-    names: HeaderNames = HeaderNames()
+    names: HeaderNames = OWN_NAMES_ONLY
 
 
 @dataclass(slots=True, frozen=True)
@@ -135,7 +141,9 @@
     rank = int(priority) if priority.isdigit() else LEAST_PRIORITY
     timeout_s = _read_timeout(head, TIMEOUT_HEADER, forwarder.limits.call_s)
     idempotent = head.own.get(IDEMPOTENT_HEADER) == b"1"
-    return GuardRoute(server, customer, rank, idempotent, forwarder.now + timeout_s)
+    name = head.own.get(ROUTE_HEADER, b"").decode("latin-1")
+    deadline = forwarder.now + timeout_s
+    return GuardRoute(server, customer, rank, idempotent, deadline, name)
 
 
 def _find_token(head: RequestHead) -> bytes:
--- a/monsoontray/membership/service.py
+++ b/monsoontray/membership/service.py
@@ -30,7 +30,6 @@
     ExchangeFailed,
     ExchangeReceived,
     FleetState,
-
     SeedsFound,
     SendExchange,
     ServerLeaves,
--- a/monsoontray/node.py
+++ b/monsoontray/node.py
@@ -36,6 +36,7 @@
         "monsoontray.discovery.service",
         "monsoontray.discovery.publisher",
         "monsoontray.discovery.watch",
+        "monsoontray.rollouts.service",
         "monsoontray.platform.operator",
         "monsoontray.platform.endpoint",
     ),
--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -22,6 +22,7 @@
     decode_deregistration,
     decode_heartbeat,
 )
+from monsoontray.rollouts.messages import ReadEvidence
 
 if TYPE_CHECKING:
     from monsoontray.settings.settings import Address, Settings
@@ -74,6 +75,11 @@
         rendered: bytes = self._kernel.find("metrics").render()
         return rendered
 
+    @cherrypy.expose
+    def evidence(self) -> bytes:
+        """Return what the guard has seen of its server, for the node that decides."""
+        return _write(self._ask("forwarding", ReadEvidence))
+
     @cherrypy.expose
     def status(self) -> bytes:
         """Return what this node knows of itself and of others."""
@@ -92,7 +98,7 @@
 
     def __init__(self, kernel: Kernel) -> None:
         settings: Settings = kernel.find("settings").settings
-        names = ("operator_address", "ready_address", "metrics_address")
+        names = ("operator_address", "ready_address", "peer_address", "metrics_address")
         self._addresses = {
             settings.get_address(name) for name in names if settings.get_text(name)
         }
--- a/monsoontray/platform/operator.py
+++ b/monsoontray/platform/operator.py
@@ -14,6 +14,7 @@
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.kernel.task import Task
 from monsoontray.platform.routes import decode_routes
+from monsoontray.rollouts.messages import RolloutOrdered
 
 if TYPE_CHECKING:
     from monsoontray.store.outcomes import Record
@@ -21,6 +22,15 @@
 NAME = "operator"
 CONFIG_KEY = "op/config"
 EVACUATE_PREFIX = "op/evacuate/"
+ROLLOUT_PREFIX = "op/rollout/"
+
+
+class RolloutShape(msgspec.Struct, frozen=True):
+    """Shape of the order to bring in a version."""
+
+    service: str
+    target_version: str
+    period_s: float  # time in which it is to be done, from the order on
 
 
 class Operator(Task):
@@ -61,6 +71,8 @@
     def _take(self, record: Record) -> None:
         if record.key == CONFIG_KEY:
             self._take_routes(record)
+        elif record.key.startswith(ROLLOUT_PREFIX):
+            self._take_rollout(record)
 
     def _take_routes(self, record: Record) -> None:
         try:
@@ -80,6 +92,17 @@
             version=routes.number, revision=record.revision, routes=len(routes.routes)
         ).info("configuration in force")
 
+    def _take_rollout(self, record: Record) -> None:
+        try:
+            shape = msgspec.json.decode(record.value, type=RolloutShape)
+        except msgspec.DecodeError as error:
+            logger.bind(key=record.key).error("rollout refused: {}", error)
+            return
+        order = RolloutOrdered(
+            record.revision, shape.service, shape.target_version, shape.period_s
+        )
+        self.kernel.post("rollouts", order)
+
     def _evacuate(self, zones: frozenset[str]) -> None:
         if zones != self._evacuated:
             self._evacuated = zones
@@ -105,4 +128,4 @@
 
 def setup(kernel: Kernel) -> None:
     """Register the service."""
-    kernel.register(Registration(NAME, ("settings", "metrics"), Operator))
+    kernel.register(Registration(NAME, ("settings", "metrics", "rollouts"), Operator))
--- a/monsoontray/platform/store.py
+++ b/monsoontray/platform/store.py
@@ -28,8 +28,8 @@
     Done,
     Lease,
     LeaseOutcome,
-    ListOutcome,
     Listing,
+    ListOutcome,
     NotDone,
     Put,
     ReadOutcome,
@@ -242,9 +242,7 @@
 
     def end_lease(self, lease: str) -> WriteOutcome:
         """Give a lease back."""
-        response = self._send(
-            "DELETE", f"/kv-lease-end/{lease}", None, self._timeout_s
-        )
+        response = self._send("DELETE", f"/kv-lease-end/{lease}", None, self._timeout_s)
         if isinstance(response, NotDone | Unknown):
             return response
         if response.status == _LEASE_LOST:
--- /dev/null
+++ b/monsoontray/rollouts/evidence.py
@@ -0,0 +1,70 @@
+"""Read what the guards of a service have seen of their servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import urllib3
+
+from monsoontray.decisions.rollouts import ServerEvidence
+from monsoontray.discovery.messages import DescribeDiscovery
+from monsoontray.kernel.errors import KernelError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from monsoontray.decisions.directory import ListedNode
+    from monsoontray.kernel.kernel import Kernel
+
+PATH = "/evidence"
+TIMEOUT_S = 0.25  # many times what an answer takes
+SKIP_S = 2.0  # time that a node which did not answer is left out
+ASK_TIMEOUT_S = 1.0
+
+
+class EvidenceReader:
+    """Ask the nodes beside a service's servers."""
+
+    __slots__ = ("_http", "_kernel", "_skipped")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._http = urllib3.PoolManager(num_pools=200, maxsize=1, retries=False)
+        self._skipped: dict[str, float] = {}  # until when
+
+    def read(self, service: str) -> list[ServerEvidence]:
+        """Return the evidence of the guards that answer."""
+        clock = self._kernel.clock
+        deadline = clock.now() + ASK_TIMEOUT_S
+        try:
+            nodes: Sequence[ListedNode] = self._kernel.ask(
+                "membership", DescribeDiscovery, deadline
+            )
+        except KernelError:
+            return []
+        found: list[ServerEvidence] = []
+        for node in nodes:
+            if node.server is None or node.server.service != service:
+                continue
+            if self._skipped.get(node.node, 0.0) > clock.now():
+                continue
+            evidence = self._read_node(node)
+            if evidence is None:
+                self._skipped[node.node] = clock.now() + SKIP_S
+            else:
+                found += [each for each in evidence if each.version]
+        return found
+
+    def _read_node(self, node: ListedNode) -> list[ServerEvidence] | None:
+        url = f"http://{node.peer_address}{PATH}"
+        try:
+            response = self._http.request("GET", url, timeout=TIMEOUT_S)
+        except urllib3.exceptions.HTTPError:
+            return None
+        if response.status != 200:
+            return None
+        try:
+            return msgspec.json.decode(response.data, type=list[ServerEvidence])
+        except msgspec.DecodeError:
+            return None
--- /dev/null
+++ b/monsoontray/rollouts/service.py
@@ -0,0 +1,240 @@
+"""The task that knows every rollout, and decides on those that it has taken on."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from loguru import logger
+
+from monsoontray.decisions.rollouts import (
+    DECIDED,
+    Phase,
+    Plan,
+    ServerEvidence,
+    average_means,
+    decide_phase,
+)
+from monsoontray.discovery.messages import StoreChanged, StoreListed
+from monsoontray.kernel.kernel import Kernel, Registration
+from monsoontray.kernel.task import Task
+from monsoontray.platform.status import build_status
+from monsoontray.rollouts.decider import Decider
+from monsoontray.rollouts.evidence import EvidenceReader
+from monsoontray.rollouts.messages import RolloutOrdered, UsePlans, VersionSuspected
+from monsoontray.store.outcomes import Conflict, Done, Put, Record
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from monsoontray.store.client import StoreClient
+
+NAME = "rollouts"
+PREFIX = "rollouts/"
+PLAN_PREFIX = "rollouts/plans/"
+CHECK_S = 0.5  # time between two looks at the evidence
+
+
+class Rollout:
+    """Hold one service's rollout: the order, the plan and when they were seen."""
+
+    __slots__ = ("next_check", "order", "phase_since", "plan", "revision", "started")
+
+    def __init__(self, order: RolloutOrdered, now: float) -> None:
+        self.order = order
+        self.plan = Plan(
+            order.order,
+            order.service,
+            order.target,
+            order.period_s,
+            Phase.WAITING,
+            0.0,
+        )
+        self.revision = 0  # of the plan's record
+        self.started = now  # when the order was given, as far as is known
+        self.phase_since = now
+        self.next_check = now
+
+    def take_plan(self, plan: Plan, revision: int, now: float) -> None:
+        """Take a plan that was written for this order."""
+        if plan.phase is not self.plan.phase:
+            self.phase_since = now
+        self.plan = plan
+        self.revision = revision
+        self.started = min(self.started, now - plan.elapsed_s)
+
+
+class Rollouts(Task):
+    """Own the rollouts of all services."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(NAME, kernel, handle_message)
+        self._client: StoreClient = kernel.find("store").open_client()
+        self._decider = Decider(kernel, self._client)
+        self._evidence = EvidenceReader(kernel)
+        self._rollouts: dict[str, Rollout] = {}
+        self._plans: dict[str, tuple[Plan, int]] = {}  # as read from the store
+
+    def find_next_deadline(self) -> float | None:
+        """Return when the evidence is looked at next."""
+        due = [
+            rollout.next_check
+            for rollout in self._rollouts.values()
+            if rollout.plan.phase not in DECIDED
+        ]
+        return min(due, default=None)
+
+    def wake(self) -> None:
+        """Look at the evidence of the rollouts that are due."""
+        now = self.clock.now()
+        for rollout in self._rollouts.values():
+            if rollout.plan.phase not in DECIDED and rollout.next_check <= now:
+                rollout.next_check = now + CHECK_S
+                if self._decider.hold(rollout.order.service):
+                    self._check(rollout)
+        if self.find_next_deadline() is None:
+            self._decider.release()
+
+    def take_order(self, order: RolloutOrdered) -> None:
+        """Take an order, with the plan that may exist for it."""
+        known = self._rollouts.get(order.service)
+        if known is not None and known.order.order >= order.order:
+            return
+        now = self.clock.now()
+        rollout = Rollout(order, now)
+        self._rollouts[order.service] = rollout
+        plan, revision = self._plans.get(order.service, (None, 0))
+        rollout.revision = revision
+        if plan is not None and plan.order == order.order:
+            rollout.take_plan(plan, revision, now)
+        logger.bind(
+            service=order.service, target=order.target, period_s=order.period_s
+        ).info("rollout ordered")
+        self._tell()
+
+    def take_records(self, records: Sequence[Record], now: float) -> None:
+        """Take plans that were written, by this node or another."""
+        for record in records:
+            if record.key.startswith(PLAN_PREFIX):
+                self._take_plan(record, now)
+            else:
+                self._decider.see_taken(record.key)
+
+    def take_removals(self, records: Sequence[Record]) -> None:
+        """Take that nodes gave up deciding."""
+        for record in records:
+            self._decider.see_free(record.key)
+
+    def hear_suspicion(self, service: str) -> None:
+        """Look at the evidence at once."""
+        rollout = self._rollouts.get(service)
+        if rollout is not None:
+            rollout.next_check = self.clock.now()
+
+    def close(self) -> None:
+        """Let another node decide, and release the client."""
+        self._decider.release()
+        self._client.close()
+
+    def _take_plan(self, record: Record, now: float) -> None:
+        try:
+            plan = msgspec.json.decode(record.value, type=Plan)
+        except msgspec.DecodeError as error:
+            logger.bind(key=record.key).warning("plan can't be read: {}", error)
+            return
+        self._plans[plan.service] = (plan, record.revision)
+        rollout = self._rollouts.get(plan.service)
+        if rollout is None or record.revision <= rollout.revision:
+            return
+        rollout.revision = record.revision
+        if rollout.order.order == plan.order:
+            rollout.take_plan(plan, record.revision, now)
+            self._tell()
+
+    def _check(self, rollout: Rollout) -> None:
+        now = self.clock.now()
+        plan = rollout.plan
+        evidence = self._evidence.read(plan.service)
+        elapsed_s = now - rollout.started
+        phase = decide_phase(plan, elapsed_s, now - rollout.phase_since, evidence)
+        is_first = not rollout.revision or plan.phase is Phase.WAITING
+        if phase is plan.phase and not (is_first and plan.elapsed_s == 0.0):
+            return
+        baseline = plan.baseline
+        if phase is Phase.CANARY:
+            old = [each for each in evidence if each.version != plan.target]
+            baseline = average_means(old)
+        changed = Plan(
+            plan.order, plan.service, plan.target, plan.period_s, phase,
+            max(elapsed_s, 0.001), baseline,
+        )  # fmt: skip
+        self._write(rollout, changed, evidence)
+
+    def _write(
+        self, rollout: Rollout, plan: Plan, evidence: Sequence[ServerEvidence]
+    ) -> None:
+        key = PLAN_PREFIX + plan.service
+        status_key, status = build_status(plan)
+        puts = (Put(key, msgspec.json.encode(plan)), Put(status_key, status))
+        outcome = self._client.commit({key: rollout.revision}, puts)
+        logger.bind(
+            service=plan.service,
+            target=plan.target,
+            phase=plan.phase.value,
+            elapsed_s=round(plan.elapsed_s, 2),
+            calls=sum(e.calls for e in evidence if e.version == plan.target),
+            suspected=sum(e.suspected for e in evidence),
+            outcome=type(outcome).__name__,
+        ).info("rollout decided")
+        if isinstance(outcome, Done):
+            rollout.take_plan(plan, outcome.revision, self.clock.now())
+            self._tell()
+        else:
+            # Another node may have written, or this write may have taken effect.
+            rollout.next_check = self.clock.now()
+            self._read_back(rollout, key, isinstance(outcome, Conflict))
+
+    def _read_back(self, rollout: Rollout, key: str, is_known: bool) -> None:
+        record = self._client.get(key)
+        if isinstance(record, Record) and record.revision:
+            self._take_plan(record, self.clock.now())
+        elif is_known and isinstance(record, Record):
+            rollout.revision = 0
+
+    def _tell(self) -> None:
+        plans = tuple(rollout.plan for rollout in self._rollouts.values())
+        self.kernel.post("forwarding", UsePlans(plans))
+
+
+@singledispatch
+def handle_message(message: Any, rollouts: Rollouts) -> None:
+    """Act on a message."""
+    raise TypeError(f"no such message: {message!r}")
+
+
+@handle_message.register(RolloutOrdered)
+def _(message: RolloutOrdered, rollouts: Rollouts) -> None:
+    rollouts.take_order(message)
+
+
+@handle_message.register(StoreListed)
+def _(message: StoreListed, rollouts: Rollouts) -> None:
+    rollouts.take_records(message.records, rollouts.clock.now())
+
+
+@handle_message.register(StoreChanged)
+def _(message: StoreChanged, rollouts: Rollouts) -> None:
+    rollouts.take_removals(message.removed)
+    rollouts.take_records(message.records, rollouts.clock.now())
+
+
+@handle_message.register(VersionSuspected)
+def _(message: VersionSuspected, rollouts: Rollouts) -> None:
+    rollouts.hear_suspicion(message.service)
+
+
+def setup(kernel: Kernel) -> None:
+    """Register the service."""
+    requires = ("settings", "store", "membership")
+    kernel.register(Registration(NAME, requires, Rollouts))
