Bound retries by route; read settings again on SIGHUP

Ruled out: retries outside the budget (each goes through it). Change: the share is 0.45 a route and counts calls that arrived.

--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -5,6 +5,7 @@
 import base64
 import json
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from bench.fleet import BackendHandle, Fleet, NodeHandle
@@ -109,10 +110,13 @@
         """Wait until every node knows so many servers."""
         for node in self.nodes:
             self.fleet.wait_for(
-                lambda node=node: self.count_servers(node) == count,
+                partial(self._knows_servers, node, count),
                 f"{count} servers at {node.handle.name}",
             )
 
+    def _knows_servers(self, node: MeshNode, count: int) -> bool:
+        return self.count_servers(node) == count
+
     def _operate(self, body: object) -> None:
         self.fleet.post_json(self.fleet.store_address, "/operator", body)
 
--- a/monsoontray/__main__.py
+++ b/monsoontray/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 import fire
@@ -12,6 +13,8 @@
 
 def main() -> None:
     """Run a command; end with its exit code and, on failure, one line."""
+    # A change of the settings that is told before they were read needs no answer.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         fire.Fire(Commands, name="monsoontray")
     except CommandError as error:
--- a/monsoontray/commands/tree.py
+++ b/monsoontray/commands/tree.py
@@ -36,7 +36,7 @@
         """Run a node with a settings file until it is told to stop."""
         from monsoontray.node import run_node
 
-        sys.exit(run_node(_load_settings(settings)))
+        sys.exit(run_node(_load_settings(settings), Path(str(settings))))
 
 
 class ConfigCommands:
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -256,6 +256,7 @@
             if held.head.status >= FIRST_FAILURE_STATUS and self._try_replace():
                 return
             self._release_held(held)
+        self._count_send()
         self._note_outcome(self._is_failure(held))
         self.forwarder.count_response(self)
         self._end()
@@ -375,17 +376,22 @@
         route = self.route
         if not isinstance(route, EntryRoute):
             return False
-        return self.forwarder.try_retry(route.service)
+        return self.forwarder.try_retry(route)
 
     def _leave_attempt(self, refusal: Refusal) -> None:
         self.tried.append(self.server)
         self.refusal = refusal
         if refusal.ran is not Ran.NOT_RUN:
-            self._sends += 1
+            self._count_send()
         if _CERTAINTY[refusal.ran] > _CERTAINTY[self._ran]:
             self._ran = refusal.ran
         self.release()
 
+    def _count_send(self) -> None:
+        self._sends += 1
+        if self._sends == 1 and isinstance(self.route, EntryRoute):
+            self.forwarder.count_arrival(self.route)
+
     def _is_failure(self, held: HeldResponse | None) -> bool:
         return held is not None and held.head.status >= FIRST_FAILURE_STATUS
 
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -50,6 +50,7 @@
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.kernel.sockets import SocketTask
 from monsoontray.rollouts.messages import ReadEvidence, UsePlans, VersionSuspected
+from monsoontray.settings.service import SettingsChanged
 
 if TYPE_CHECKING:
     from monsoontray.decisions.rollouts import Plan
@@ -65,8 +66,11 @@
 IDLE_CLOSE_S = 0.5  # time that idle callers keep their connection at a stop
 MAX_CALL_ID_LENGTH = 128
 HEARD_S = 3.0  # time that a node which is not listed is used since it answered
-RETRY_SHARE = 0.6  # of the fleet's retry ratio: repeated calls make calls of their own
-SLACK_SHARE = 0.5  # of the fleet's free retries, for the same reason
+#: Share of the fleet's retry ratio that each route may use for itself. A call that
+#: runs again makes its own calls again, which count as retries where they go: a
+#: route that only such calls use gets as many again from their callers' routes.
+RETRY_SHARE = 0.45
+SLACK_SHARE = 0.2  # of the fleet's free retries, for each route; a service has a few
 #: Reasons after which a local server may be gone or another one.
 _DOUBTFUL = frozenset((Reason.UNREACHABLE, Reason.CONNECTION_LOST))
 
@@ -105,7 +109,7 @@
         self._stop_deadline = 0.0
         self._versions = VersionGate()
         self._evacuated: frozenset[str] = frozenset()
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets: dict[tuple[str, str], RetryBudget] = {}
         self._callers: set[CallerConnection] = set()
         self._calls: set[Call] = set()
         self._call_count = 0
@@ -174,8 +178,6 @@
         call = Call(self, exchange, head, route, call_id)
         self._calls.add(call)
         exchange.call = call
-        if isinstance(route, EntryRoute):
-            self._find_budget(route.service).count_call(self.now)
         call.start()
 
     def forget_call(self, call: Call) -> None:
@@ -277,17 +279,28 @@
         if self.route_table is not None and table.number <= self.route_table.number:
             return
         self.route_table = table
+        self._limit_callers(table)
+        for guard in self.guards.values():
+            guard.record = self._complete(guard.record)
+        self._close_guards()
+
+    def use_settings(self, settings: Settings) -> None:
+        """Take over changed limits and bounds; addresses need a restart."""
+        self._interface = find_interface(settings)
+        self.limits = read_limits(settings)
+        bounds = self._interface.bounds
+        self._cold = ColdLimits(bounds.cold_factor, bounds.cold_slack)
+        if self.route_table is not None:
+            self._limit_callers(self.route_table)
+
+    def _limit_callers(self, table: RouteTable) -> None:
         limits = table.routes.limits
-        head = replace(self.limits.head, head_bytes=limits.head_bytes)
         self.limits = replace(
             self.limits,
-            head=head,
+            head=replace(self.limits.head, head_bytes=limits.head_bytes),
             head_s=limits.head_timeout_s,
             idle_s=limits.idle_timeout_s,
         )
-        for guard in self.guards.values():
-            guard.record = self._complete(guard.record)
-        self._close_guards()
 
     def evacuate(self, zones: frozenset[str]) -> None:
         """Send nothing to the servers of some zones."""
@@ -313,9 +326,13 @@
             servers=self.servers.count(),
         )
 
-    def try_retry(self, service: str) -> bool:
-        """Take a retry from the node's part of the budget of a service."""
-        return self._find_budget(service).try_retry(self.now)
+    def count_arrival(self, route: EntryRoute) -> None:
+        """Count a call that a backend server has seen for the first time."""
+        self._find_budget(route).count_call(self.now)
+
+    def try_retry(self, route: EntryRoute) -> bool:
+        """Take a retry from the node's part of the budget of a route."""
+        return self._find_budget(route).try_retry(self.now)
 
     def use_servers(self, servers: ServerTable) -> None:
         """Take a changed table of the fleet's servers."""
@@ -379,8 +396,9 @@
                 guard.forget_waiting(call)
                 call.fail_attempt(refuse_unrun(closed))
 
-    def _find_budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
+    def _find_budget(self, route: EntryRoute) -> RetryBudget:
+        key = (route.service, route.name)
+        budget = self._budgets.get(key)
         if budget is None:
             bounds = self._interface.bounds
             budget = RetryBudget(
@@ -388,7 +406,7 @@
                 bounds.retry_window_s,
                 self._find_allowance(),
             )
-            self._budgets[service] = budget
+            self._budgets[key] = budget
         return budget
 
     def _find_allowance(self) -> float:
@@ -467,6 +485,11 @@
     forwarder.use_local_servers(message)
 
 
+@handle_message.register(SettingsChanged)
+def _(message: SettingsChanged, forwarder: Forwarder) -> None:
+    forwarder.use_settings(message.settings)
+
+
 @handle_message.register(UsePlans)
 def _(message: UsePlans, forwarder: Forwarder) -> None:
     forwarder.use_plans(message.plans)
--- a/monsoontray/node.py
+++ b/monsoontray/node.py
@@ -4,6 +4,7 @@
 
 import signal
 from importlib import import_module
+from pathlib import Path
 from types import FrameType
 
 from loguru import logger
@@ -13,7 +14,7 @@
 from monsoontray.kernel.kernel import Kernel
 from monsoontray.kernel.messages import StopRequested
 from monsoontray.logs import set_up_log
-from monsoontray.settings.service import register_settings
+from monsoontray.settings.service import ReloadSettings, register_settings
 from monsoontray.settings.settings import Settings
 
 #: Modules that offer ``setup(kernel)``, each one service, by interface.
@@ -47,8 +48,11 @@
 EXIT_FAILED = 70
 
 
-def run_node(settings: Settings) -> int:
-    """Run a node until it is told to stop; return the exit code."""
+def run_node(settings: Settings, path: Path) -> int:
+    """Run a node until it is told to stop; return the exit code.
+
+    Its settings were read from a file, which is read again when it changes.
+    """
     set_up_log(
         settings.get_text("log_format"),
         settings.get_text("log_level"),
@@ -56,18 +60,23 @@
         settings.get_text("log_file"),
     )
     kernel = Kernel(SystemClock(), _find_stop_grace(settings))
-    register_settings(kernel, settings)
+    register_settings(kernel, settings, path)
     for name in SERVICE_MODULES[settings.get_text("interface")]:
         import_module(name).setup(kernel)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda got, frame: _request_stop(kernel, got, frame))
     kernel.start()
+    signal.signal(signal.SIGHUP, lambda got, frame: _request_reload(kernel, path))
     logger.info("node started")
     kernel.run()
     kernel.stop()
     return EXIT_FAILED if kernel.failed else EXIT_STOPPED
 
 
+def _request_reload(kernel: Kernel, path: Path) -> None:
+    kernel.post("settings", ReloadSettings(path))
+
+
 def _find_stop_grace(settings: Settings) -> float:
     """Return the seconds that a stop may take."""
     bound_s = find_interface(settings).bounds.stop_limit_s
--- a/monsoontray/settings/service.py
+++ b/monsoontray/settings/service.py
@@ -1,35 +1,106 @@
-"""Offer the node's settings to other services."""
+"""Offer the node's settings to other services, and read them again."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
 
-from monsoontray.kernel.kernel import Kernel, Registration
+from loguru import logger
+
+from monsoontray.kernel.kernel import DeathPolicy, Kernel, Registration
+from monsoontray.kernel.task import Task
+from monsoontray.settings.errors import SettingsError
+from monsoontray.settings.settings import load_settings
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from monsoontray.settings.settings import Settings
 
 NAME = "settings"
+CHECK_S = 5.0  # time between two looks at the file, which may change untold
+
+
+@dataclass(slots=True, frozen=True)
+class ReloadSettings:
+    """Ask for the settings file to be read again."""
+
+    path: Path
+
+
+@dataclass(slots=True, frozen=True)
+class SettingsChanged:
+    """Tell that settings which services may take over have changed."""
+
+    settings: Settings
 
 
-class SettingsService:
-    """Hold the settings, which do not change while the node runs."""
+class SettingsService(Task):
+    """Own the settings in force; takes over a changed file whole or not at all."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, kernel: Kernel, settings: Settings, path: Path | None) -> None:
+        super().__init__(NAME, kernel, handle_message)
         self.settings = settings
+        self._path = path
+        self._changed_at = _read_change_time(path)
+        self._due = kernel.clock.now() + CHECK_S
 
-    def start(self) -> None:
-        """Do nothing; the settings were checked before."""
+    def find_next_deadline(self) -> float | None:
+        """Return when the file is looked at next."""
+        return self._due if self._path is not None else None
 
-    def stop(self, deadline: float) -> None:
-        """Do nothing."""
+    def wake(self) -> None:
+        """Read the file again if it has changed."""
+        self._due = self.clock.now() + CHECK_S
+        changed_at = _read_change_time(self._path)
+        if changed_at is not None and changed_at != self._changed_at:
+            assert self._path is not None
+            self.reload(self._path)
 
-    def post(self, message: object) -> None:
-        """Reject messages; the service takes none."""
-        raise TypeError(f"the settings service takes no messages: {message!r}")
+    def reload(self, path: Path) -> None:
+        """Read the file and take it over, or keep what is in force."""
+        self._changed_at = _read_change_time(path)
+        try:
+            settings = load_settings(path)
+        except SettingsError as error:
+            logger.error("changed settings refused, those in force stay: {}", error)
+            return
+        before, after = self.settings.get_values(), settings.get_values()
+        changed = sorted(name for name in after if after[name] != before[name])
+        logger.bind(changed=changed).info("settings read again")
+        if changed:
+            self.settings = settings
+            self.kernel.post("forwarding", SettingsChanged(settings))
 
 
-def register_settings(kernel: Kernel, settings: Settings) -> None:
+@singledispatch
+def handle_message(message: Any, service: SettingsService) -> None:
+    """Act on a message."""
+    raise TypeError(f"no such message: {message!r}")
+
+
+@handle_message.register(ReloadSettings)
+def _(message: ReloadSettings, service: SettingsService) -> None:
+    service.reload(message.path)
+
+
+def _read_change_time(path: Path | None) -> float | None:
+    """Return when a file was changed last; None while it can't be told."""
+    if path is None:
+        return None
+    try:
+        return path.stat().st_mtime
+    except OSError:
+        return None
+
+
+def register_settings(
+    kernel: Kernel, settings: Settings, path: Path | None = None
+) -> None:
     """Register the service over settings that were loaded."""
-    registration = Registration(NAME, (), lambda kernel: SettingsService(settings))
-    kernel.register(registration)
+
+    def build(kernel: Kernel) -> SettingsService:
+        return SettingsService(kernel, settings, path)
+
+    kernel.register(Registration(NAME, (), build, DeathPolicy.STOP_NODE))
--- a/tests/test_platform/test_mesh.py
+++ b/tests/test_platform/test_mesh.py
@@ -232,6 +232,22 @@
     router.close()
 
 
+def test_changed_settings_are_taken_over_whole_or_not_at_all(mesh):
+    start(mesh, 1)
+    node = mesh.nodes[0].handle
+    good = node.settings_file.read_text()
+    log = mesh.fleet.directory / "node-0.log"
+    for content, told in (
+        ("{", "changed settings refused"),
+        (good.replace('"node-0"', "7"), "changed settings refused"),
+        (good.replace("{", '{"max_attempts": 2, ', 1), "max_attempts"),
+    ):
+        node.settings_file.write_text(content)
+        node.process.send_signal(signal.SIGHUP)
+        mesh.fleet.wait_for(lambda told=told: told in log.read_text(), told)
+        assert call(mesh.nodes[0], "/read/1", "s").status == 200
+
+
 def run_rollout(mesh, **behaviour):
     start(mesh, 2)
     for i in (2, 3):
