--- a/monsoontray/decisions/budget.py
+++ b/monsoontray/decisions/budget.py
@@ -4,6 +4,14 @@
 
 from collections import deque
 
+from monsoontray.decisions.bounds import Bounds
+
+#: Share of the fleet's retry ratio that each route may use for itself. A call that
+#: runs again makes its own calls again, which count as retries where they go: a
+#: route that only such calls use gets as many again from their callers' routes.
+RETRY_SHARE = 0.45
+SLACK_SHARE = 0.2  # of the fleet's free retries, for each route; a service has a few
+
 
 class RetryBudget:
     """Count a node's calls and retries for one service over a sliding window.
@@ -40,3 +48,49 @@
         for times in (self._calls, self._retries):
             while times and times[0] <= oldest:
                 times.popleft()
+
+
+class RetryBudgets:
+    """Hold a node's budgets, one for each route of a service."""
+
+    __slots__ = ("_bounds", "_budgets", "_fleet_size")
+
+    def __init__(self, bounds: Bounds) -> None:
+        self._bounds = bounds
+        self._budgets: dict[tuple[str, str], RetryBudget] = {}
+        self._fleet_size = 1
+
+    def use_bounds(self, bounds: Bounds) -> None:
+        """Take changed bounds; they hold for routes not seen before."""
+        self._bounds = bounds
+
+    def use_fleet_size(self, count: int) -> None:
+        """Take how many nodes there are.
+
+        The most ever seen holds: a node that is cut off sees fewer, but the
+        others still add their own retries.
+        """
+        self._fleet_size = max(self._fleet_size, count)
+        for budget in self._budgets.values():
+            budget.allowance = self._find_allowance()
+
+    def count_arrival(self, service: str, route: str, now: float) -> None:
+        """Count a call that a backend server has seen for the first time."""
+        self._find(service, route).count_call(now)
+
+    def try_retry(self, service: str, route: str, now: float) -> bool:
+        """Count a retry if the budget allows it; say whether it does."""
+        return self._find(service, route).try_retry(now)
+
+    def _find(self, service: str, route: str) -> RetryBudget:
+        key = (service, route)
+        budget = self._budgets.get(key)
+        if budget is None:
+            ratio = self._bounds.retry_ratio * RETRY_SHARE
+            window_s = self._bounds.retry_window_s
+            budget = RetryBudget(ratio, window_s, self._find_allowance())
+            self._budgets[key] = budget
+        return budget
+
+    def _find_allowance(self) -> float:
+        return self._bounds.retry_slack * SLACK_SHARE / self._fleet_size
--- a/monsoontray/decisions/retries.py
+++ b/monsoontray/decisions/retries.py
@@ -52,3 +52,50 @@
     if repeatable and attempt.body_kept and time_left and attempt.number < max_attempts:
         return Retry(reason)
     return Refusal(reason, attempt.ran)
+
+
+MAX_OFFERS = 4  # guards that a call is offered to while none has taken it
+#: How sure it is that a call ran, in rising order.
+_CERTAINTY = {Ran.NOT_RUN: 0, Ran.REJECTED: 1, Ran.UNKNOWN: 2}
+
+
+class AttemptRecord:
+    """Record the attempts of one call and what they left behind."""
+
+    __slots__ = ("last", "offers", "ran", "sends", "tried")
+
+    def __init__(self) -> None:
+        self.offers = 0  # attempts
+        self.sends = 0  # attempts that a back end has seen or may have seen
+        self.tried: list[str] = []  # servers
+        self.ran = Ran.NOT_RUN  # the worst that any attempt has left behind
+        self.last: Refusal | None = None  # how the latest one failed
+
+    def leave(self, server: str, refusal: Refusal) -> bool:
+        """Note a failed attempt; say whether it was the first that arrived."""
+        self.tried.append(server)
+        self.last = refusal
+        if _CERTAINTY[refusal.ran] > _CERTAINTY[self.ran]:
+            self.ran = refusal.ran
+        return refusal.ran is not Ran.NOT_RUN and self.arrive()
+
+    def arrive(self) -> bool:
+        """Note that a back end has seen the call; say whether it is the first."""
+        self.sends += 1
+        return self.sends == 1
+
+    def find_limit(self, refusal: Refusal, max_attempts: int, may_offer: bool) -> int:
+        """Return how many attempts of the kind that failed a call may make."""
+        if refusal.ran is Ran.NOT_RUN and may_offer:
+            return max(max_attempts, MAX_OFFERS)
+        return max_attempts
+
+    def count(self, refusal: Refusal) -> int:
+        """Return the attempts made that are of the kind that failed."""
+        return self.offers if refusal.ran is Ran.NOT_RUN else self.sends
+
+    def qualify(self, refusal: Refusal) -> Refusal:
+        """Return a refusal that is no surer than what the attempts left behind."""
+        if _CERTAINTY[self.ran] > _CERTAINTY[refusal.ran]:
+            return Refusal(refusal.reason, self.ran, refusal.retry_after_s)
+        return refusal
--- a/monsoontray/forwarding/attempts.py
+++ b/monsoontray/forwarding/attempts.py
@@ -42,20 +42,18 @@
 def _(route: EntryRoute, call: Call) -> None:
     forwarder = call.forwarder
     endpoint = choose_server(
-        forwarder.find_candidates(route.service, bool(call.tried)),
+        forwarder.find_candidates(route.service, bool(call.attempts.tried)),
         route.resource,
         forwarder.place,
-        call.tried,
+        call.attempts.tried,
         forwarder.loads,
         forwarder.now,
         forwarder.random,
         _estimate_body(call.head),
     )
     if endpoint is None:
-        if call.refusal is not None:
-            call.refuse(call.refusal)
-        else:
-            call.refuse(Refusal(Reason.NO_SERVER, Ran.NOT_RUN, NO_SERVER_RETRY_S))
+        none_left = Refusal(Reason.NO_SERVER, Ran.NOT_RUN, NO_SERVER_RETRY_S)
+        call.refuse(call.attempts.last or none_left)
         return
     call.server = endpoint.server
     forwarder.loads.begin(endpoint.server)
@@ -72,7 +70,7 @@
 
 def start_local(call: Call, server: str) -> None:
     """Ask for a slot of the local backend server."""
-    guard = call.forwarder.guards.get(server)
+    guard = call.forwarder.guards.find(server)
     if guard is None:
         call.fail_attempt(refuse_unrun(Reason.NO_SERVER))
         return
@@ -94,7 +92,7 @@
 
 @follow_slot.register(Queued)
 def _(outcome: Queued, call: Call, guard: GuardState) -> None:
-    call.forwarder.recheck_waiting(guard)
+    call.forwarder.guards.recheck_waiting(guard)
 
 
 @follow_slot.register(Refusal)
@@ -107,7 +105,7 @@
     call.hold_slot(guard)
     forwarder = call.forwarder
     server = guard.record.server
-    address = forwarder.server_addresses.get(server)
+    address = forwarder.guards.find_address(server)
     if address is None:
         call.fail_attempt(refuse_unrun(Reason.SERVER_LEAVING))
         return
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -11,7 +11,13 @@
     refuse_unknown,
     refuse_unrun,
 )
-from monsoontray.decisions.retries import Abandon, Attempt, Retry, decide_after_failure
+from monsoontray.decisions.retries import (
+    Abandon,
+    Attempt,
+    AttemptRecord,
+    Retry,
+    decide_after_failure,
+)
 from monsoontray.forwarding.attempts import start_attempt
 from monsoontray.forwarding.heads import (
     LAST_CHUNK,
@@ -23,6 +29,7 @@
     encode_request,
 )
 from monsoontray.forwarding.refusals import read_refusal
+from monsoontray.forwarding.replay import KeptBody
 from monsoontray.forwarding.responses import (
     Foreign,
     HeldResponse,
@@ -38,41 +45,32 @@
     from monsoontray.forwarding.forwarder import Forwarder
     from monsoontray.forwarding.upstream import UpstreamConnection
 
-MAX_OFFERS = 4  # guards that a call is offered to while none has taken it
 FIRST_FAILURE_STATUS = 500
-#: How sure it is that a call ran, in rising order.
-_CERTAINTY = {Ran.NOT_RUN: 0, Ran.REJECTED: 1, Ran.UNKNOWN: 2}
 
 
 class Call:
     """Join a caller's request to the attempts made for it."""
 
     __slots__ = (
-        "_body_kept",
+        "_body",
         "_guard_refusal",
         "_held",
         "_hop",
         "_id_line",
-        "_kept",
-        "_kept_bytes",
-        "_offers",
-        "_ran",
-        "_sends",
         "_sent",
         "_slot_since",
         "_timer",
+        "attempts",
         "call_id",
         "exchange",
         "forwarder",
         "guard",
         "head",
-        "refusal",
         "request_ended",
         "response_started",
         "route",
         "server",
         "started",
-        "tried",
         "upstream",
     )
 
@@ -90,26 +88,20 @@
         self.route = route
         self.call_id = call_id
         self.started = forwarder.now
-        self.tried: list[str] = []
+        self.attempts = AttemptRecord()
         self.server = ""  # the server of the current attempt
         self.guard: GuardState | None = None  # where this call holds a slot
         self.upstream: UpstreamConnection | None = None
         self.request_ended = False
         self.response_started = False
-        self.refusal: Refusal | None = None  # of the latest failed attempt
         names_calls = forwarder.vocabulary.callers_name_calls
         id_header = forwarder.vocabulary.call_id
         id_line = encode_line(id_header, call_id.encode("latin-1"))
         self._id_line = b"" if names_calls else id_line
-        self._offers = 0  # attempts
-        self._sends = 0  # attempts that a back end has seen or may have seen
-        self._ran = Ran.NOT_RUN  # the worst that any attempt has left behind
+        self._body = KeptBody()
         self._guard_refusal: Refusal | None = None  # stated by the guard, arriving
         self._held: HeldResponse | None = None
         self._hop: Hop | None = None
-        self._kept: list[bytes] = []
-        self._kept_bytes = 0
-        self._body_kept = True
         self._sent = False
         self._slot_since = 0.0
         self._timer = forwarder.timers.add(route.deadline, self._pass_deadline)
@@ -121,7 +113,7 @@
 
     def start(self) -> None:
         """Make the next attempt."""
-        self._offers += 1
+        self.attempts.offers += 1
         self._sent = False
         start_attempt(self.route, self)
 
@@ -161,7 +153,7 @@
         upstream.write(
             encode_request(head.method, head.target, lines, head.framing, head.length)
         )
-        for part in self._kept:
+        for part in self._body.parts:
             self._write_body(part)
         if self.request_ended and head.framing is Framing.CHUNKED:
             upstream.write(LAST_CHUNK)
@@ -171,10 +163,12 @@
 
     def on_request_body(self, part: bytes) -> None:
         """Take a part of the request's body."""
-        self._keep(part)
         upstream = self.upstream
+        limit = self.forwarder.limits.replay_bytes
+        is_sent = upstream is not None and upstream.connected
+        self._body.add(part, is_sent, limit)
         if upstream is None or not upstream.connected:
-            if self._kept_bytes >= self.forwarder.limits.replay_bytes:
+            if self._body.size >= limit:
                 self.exchange.pause_reading()
             return
         self._write_body(part)
@@ -256,9 +250,10 @@
             if held.head.status >= FIRST_FAILURE_STATUS and self._try_replace():
                 return
             self._release_held(held)
-        self._count_send()
+        if self.attempts.arrive():
+            self._count_arrival()
         self._note_outcome(self._is_failure(held))
-        self.forwarder.count_response(self)
+        self.forwarder.report.response(self)
         self._end()
         self.exchange.end_response()
 
@@ -266,7 +261,7 @@
         """Act on the loss of the connection that carries the call."""
         self.upstream = None
         if self.guard is not None:
-            self.forwarder.doubt_server(self.guard, reason)
+            self.forwarder.guards.doubt(self.guard, reason)
         elif reason is Reason.UNREACHABLE:
             self.forwarder.loads.avoid(self.server, self.now)
         if self._guard_refusal is not None:
@@ -280,27 +275,26 @@
         self._held = None
         self._leave_attempt(refusal)
         has_run = refusal.ran is not Ran.NOT_RUN
-        max_attempts = self.route.max_attempts
-        if not has_run and isinstance(self.route, EntryRoute):
-            max_attempts = max(max_attempts, MAX_OFFERS)
+        may_offer = isinstance(self.route, EntryRoute)
+        limit = self.attempts.find_limit(refusal, self.route.max_attempts, may_offer)
         attempt = Attempt(
             self.route.idempotent,
-            self._sends if has_run else self._offers,
+            self.attempts.count(refusal),
             self.route.deadline,
             refusal.ran,
             self.response_started,
-            self._body_kept,
+            self._body.is_whole,
         )
-        outcome = decide_after_failure(attempt, refusal.reason, self.now, max_attempts)
+        outcome = decide_after_failure(attempt, refusal.reason, self.now, limit)
         if isinstance(outcome, Retry):
             if not has_run or self._try_budget():
-                self.forwarder.count_retry(self, outcome)
+                self.forwarder.report.retry(self, outcome)
                 self.start()
                 return
             outcome = refusal
         if isinstance(outcome, Abandon):
             self._end()
-            self.forwarder.count_cut(self, outcome)
+            self.forwarder.report.cut(self, outcome)
             self.exchange.cut()
         else:
             self.refuse(refusal)
@@ -309,7 +303,7 @@
         """Stop working for a caller that has gone."""
         self._note_unfinished()
         self._drop_upstream()
-        self.forwarder.count_cancelled(self)
+        self.forwarder.report.cancelled(self)
         self._end()
 
     def qualify(self, reason: Reason) -> Refusal:
@@ -320,10 +314,9 @@
 
     def refuse(self, refusal: Refusal) -> None:
         """End the call by a refusal, no surer than what its attempts left behind."""
-        if _CERTAINTY[self._ran] > _CERTAINTY[refusal.ran]:
-            refusal = Refusal(refusal.reason, self._ran, refusal.retry_after_s)
+        refusal = self.attempts.qualify(refusal)
         self._drop_upstream()
-        self.forwarder.log_refusal(refusal, self)
+        self.forwarder.report.refusal(refusal, self)
         self._end()
         self.exchange.refuse(refusal, self)
 
@@ -335,7 +328,7 @@
         guard = self.guard
         if guard is not None:
             self.guard = None
-            self.forwarder.release_slot(guard)
+            self.forwarder.guards.release_slot(guard)
 
     def _begin_response(self, head: ResponseHead) -> None:
         self.response_started = True
@@ -355,12 +348,12 @@
     def _try_replace(self) -> bool:
         """Start another attempt in place of a failed response; say if it began."""
         route = self.route
-        repeatable = route.idempotent and self._body_kept
+        repeatable = route.idempotent and self._body.is_whole
         if not isinstance(route, EntryRoute) or not repeatable:
             return False
         needed_s = self.now - self.started
         has_time = self.now + needed_s < route.deadline
-        if not has_time or self._sends + 1 >= route.max_attempts:
+        if not has_time or self.attempts.sends + 1 >= route.max_attempts:
             return False
         if not self._try_budget():
             return False
@@ -368,7 +361,7 @@
         self._note_outcome(True)
         refusal = refuse_unknown(Reason.SERVER_FAILED)
         self._leave_attempt(refusal)
-        self.forwarder.count_retry(self, Retry(refusal.reason))
+        self.forwarder.report.retry(self, Retry(refusal.reason))
         self.start()
         return True
 
@@ -376,21 +369,17 @@
         route = self.route
         if not isinstance(route, EntryRoute):
             return False
-        return self.forwarder.try_retry(route)
+        return self.forwarder.budgets.try_retry(route.service, route.name, self.now)
 
     def _leave_attempt(self, refusal: Refusal) -> None:
-        self.tried.append(self.server)
-        self.refusal = refusal
-        if refusal.ran is not Ran.NOT_RUN:
-            self._count_send()
-        if _CERTAINTY[refusal.ran] > _CERTAINTY[self._ran]:
-            self._ran = refusal.ran
+        if self.attempts.leave(self.server, refusal):
+            self._count_arrival()
         self.release()
 
-    def _count_send(self) -> None:
-        self._sends += 1
-        if self._sends == 1 and isinstance(self.route, EntryRoute):
-            self.forwarder.count_arrival(self.route)
+    def _count_arrival(self) -> None:
+        route = self.route
+        if isinstance(route, EntryRoute):
+            self.forwarder.budgets.count_arrival(route.service, route.name, self.now)
 
     def _is_failure(self, held: HeldResponse | None) -> bool:
         return held is not None and held.head.status >= FIRST_FAILURE_STATUS
@@ -403,29 +392,19 @@
         if guard is not None:
             seconds = self.now - self._slot_since
             guard.note_service(seconds)
-            self.forwarder.weigh_call(guard, self.route.name, seconds, failed)
+            self.forwarder.guards.weigh_call(guard, self.route.name, seconds, failed)
 
     def _note_unfinished(self) -> None:
         """Take that a call was given up while a server was at work on it."""
         guard = self.guard
         if guard is not None and self._sent:
             seconds = self.now - self._slot_since
-            self.forwarder.weigh_unfinished(guard, self.route.name, seconds)
+            self.forwarder.guards.weigh_unfinished(guard, self.route.name, seconds)
 
     def _follow_guard_refusal(self, refusal: Refusal) -> None:
         self._guard_refusal = None
         self.fail_attempt(refusal)
 
-    def _keep(self, part: bytes) -> None:
-        if not self._body_kept:
-            return
-        self._kept.append(part)
-        self._kept_bytes += len(part)
-        streaming = self.upstream is not None and self.upstream.connected
-        if streaming and self._kept_bytes > self.forwarder.limits.replay_bytes:
-            self._body_kept = False
-            self._kept.clear()
-
     def _write_body(self, part: bytes) -> None:
         assert self.upstream is not None
         chunked = self.head.framing is Framing.CHUNKED
@@ -443,13 +422,13 @@
         if self.response_started:
             self._drop_upstream()
             self._end()
-            self.forwarder.count_cut(self, Abandon(Reason.DEADLINE_PASSED))
+            self.forwarder.report.cut(self, Abandon(Reason.DEADLINE_PASSED))
             self.exchange.cut()
         else:
             self.refuse(self.qualify(Reason.DEADLINE_PASSED))
 
     def _end(self) -> None:
         self.forwarder.timers.cancel(self._timer)
-        self.forwarder.leave_queues(self)
+        self.forwarder.guards.forget_waiting(self)
         self.release()
         self.forwarder.forget_call(self)
--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -134,14 +134,14 @@
             exchange = Exchange(self, None)
             self._exchanges.append(exchange)
         exchange.closes = True
-        self.forwarder.log_rejection(refusal, malformed.detail)
+        self.forwarder.report.reject(refusal, malformed.detail)
         exchange.refuse(refusal, None)
 
     def refuse_connection(self, refusal: Refusal) -> None:
         """Send a refusal before any request and end the connection."""
         exchange = Exchange(self, None)
         self._exchanges.append(exchange)
-        self.forwarder.log_rejection(refusal, "")
+        self.forwarder.report.reject(refusal, "")
         exchange.refuse(refusal, None)
 
     def resume_if_allowed(self) -> None:
--- /dev/null
+++ b/monsoontray/forwarding/guards.py
@@ -0,0 +1,204 @@
+"""The guards of the backend servers on this VM."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from monsoontray.decisions.guard import RECHECK_S, ColdLimits, GuardState
+from monsoontray.decisions.outcomes import Reason, refuse_unrun
+from monsoontray.decisions.rollouts import ServerEvidence
+from monsoontray.forwarding.attempts import use_slot
+from monsoontray.forwarding.messages import GuardServers, ServerDoubted
+from monsoontray.forwarding.versions import read_evidence
+from monsoontray.rollouts.messages import VersionSuspected
+
+if TYPE_CHECKING:
+    from monsoontray.decisions.servers import LoadView, ServerRecord
+    from monsoontray.forwarding.call import Call
+    from monsoontray.forwarding.forwarder import Forwarder
+    from monsoontray.forwarding.interfaces import Interface
+    from monsoontray.settings.settings import Address
+
+#: Reasons after which a local server may be gone or another one.
+_DOUBTFUL = frozenset((Reason.UNREACHABLE, Reason.CONNECTION_LOST))
+
+
+class LocalGuards:
+    """Hold the guards; a part of the forwarding task."""
+
+    __slots__ = ("_addresses", "_cold", "_forwarder", "_guards", "_rechecks")
+
+    def __init__(self, forwarder: Forwarder, interface: Interface) -> None:
+        self._forwarder = forwarder
+        self._guards: dict[str, GuardState] = {}
+        self._addresses: dict[str, Address] = {}
+        self._rechecks: set[str] = set()  # servers whose queue is looked at again
+        self.use_interface(interface)
+
+    def __contains__(self, server: str) -> bool:
+        return server in self._guards
+
+    def find(self, server: str) -> GuardState | None:
+        """Return the guard of a server, if it is on this VM."""
+        return self._guards.get(server)
+
+    def find_address(self, server: str) -> Address | None:
+        """Return where a server is reached."""
+        return self._addresses.get(server)
+
+    def use_interface(self, interface: Interface) -> None:
+        """Take changed bounds; they hold for guards from now on."""
+        bounds = interface.bounds
+        self._cold = ColdLimits(bounds.cold_factor, bounds.cold_slack)
+
+    def use_servers(self, message: GuardServers) -> None:
+        """Guard the backend servers that are on this VM now."""
+        forwarder = self._forwarder
+        names = {local.record.server for local in message.servers}
+        for name in self._guards.keys() - names:
+            guard = self._guards.pop(name)
+            forwarder.pool.close_address(self._addresses.pop(name))
+            _fail_waiting(guard, Reason.SERVER_LEAVING)
+        for local in message.servers:
+            name = local.record.server
+            self._addresses[name] = local.address
+            known = self._guards.get(name)
+            if known is None:
+                limit = forwarder.limits.queue_length
+                known = GuardState(local.record, limit, self._cold)
+                self._guards[name] = known
+            known.confirmed = True
+            record = self._complete(local.record)
+            for call in known.update_record(record, forwarder.now):
+                use_slot(call, known)
+        self.close_some()
+
+    def use_policies(self) -> None:
+        """Take what a new configuration says of the servers."""
+        for guard in self._guards.values():
+            guard.record = self._complete(guard.record)
+        self.close_some()
+
+    def close_some(self) -> None:
+        """Pass nothing on to the servers that may get nothing now."""
+        for guard in self._guards.values():
+            guard.closed = self._find_closed_reason(guard)
+            if guard.closed is not None:
+                _fail_waiting(guard, guard.closed)
+
+    def doubt(self, guard: GuardState, reason: Reason) -> None:
+        """Treat a server as cold until it announces itself again."""
+        if reason in _DOUBTFUL and guard.confirmed:
+            guard.confirmed = False
+            message = ServerDoubted(guard.record.server, reason.value)
+            self._forwarder.kernel.post("membership", message)
+
+    def doubt_all(self) -> None:
+        """Treat every server as cold until it announces itself again."""
+        for guard in self._guards.values():
+            guard.confirmed = False
+
+    def release_slot(self, guard: GuardState) -> None:
+        """Free a slot and pass it to the call that waits for it."""
+        waiting = guard.release_slot(self._forwarder.now)
+        if waiting is not None:
+            use_slot(waiting, guard)
+
+    def recheck_waiting(self, guard: GuardState) -> None:
+        """Look at a queue again soon, in case no slot is released meanwhile."""
+        server = guard.record.server
+        if server not in self._rechecks:
+            self._rechecks.add(server)
+            due = self._forwarder.now + RECHECK_S
+            self._forwarder.timers.add(due, lambda: self._recheck(server))
+
+    def forget_waiting(self, call: Call) -> None:
+        """Remove a call from the queues that it may wait in."""
+        for guard in self._guards.values():
+            guard.forget_waiting(call)
+
+    def weigh_call(
+        self, guard: GuardState, route: str, seconds: float, failed: bool
+    ) -> None:
+        """Take how a server's call has ended, in case its version is on trial."""
+        forwarder = self._forwarder
+        versions = forwarder.versions
+        if not versions.weigh(guard, route, seconds, failed, forwarder.now):
+            return
+        self.close_some()
+        forwarder.timers.add(versions.get_brake_deadline(), self._release_brake)
+        forwarder.kernel.post("rollouts", VersionSuspected(guard.record.service))
+        logger.bind(
+            server=guard.record.server,
+            server_version=guard.record.version,
+            route=route,
+            calls=guard.suspicion.calls,
+        ).warning("version is suspected; its server gets nothing for now")
+
+    def weigh_unfinished(self, guard: GuardState, route: str, seconds: float) -> None:
+        """Take a call that was given up while a server was at work on it."""
+        if self._forwarder.versions.is_too_slow(guard, route, seconds):
+            self.weigh_call(guard, route, seconds, True)
+
+    def read_evidence(self) -> list[ServerEvidence]:
+        """Return what the guards have seen of their servers."""
+        return read_evidence(self._guards.values())
+
+    def report_loads(self, loads: LoadView) -> None:
+        """Tell the load of the local servers, which no response carries."""
+        now = self._forwarder.now
+        for name, guard in self._guards.items():
+            loads.hear(name, guard.report_load(now), now)
+
+    def count_running(self) -> int:
+        """Return how many calls hold a slot."""
+        return sum(guard.in_use for guard in self._guards.values())
+
+    def count_waiting(self) -> int:
+        """Return how many calls wait for a slot."""
+        return sum(len(guard.waiting) for guard in self._guards.values())
+
+    def _find_closed_reason(self, guard: GuardState) -> Reason | None:
+        forwarder = self._forwarder
+        if forwarder.place.zone in forwarder.evacuated:
+            return Reason.ZONE_EVACUATED
+        if forwarder.vocabulary.callers_name_calls and forwarder.route_table is None:
+            # What a cold server bears is not known yet.
+            return Reason.NO_VERSION
+        return forwarder.versions.find_closed_reason(guard, forwarder.now)
+
+    def _complete(self, record: ServerRecord) -> ServerRecord:
+        """Add what the configuration says of a server's service."""
+        table = self._forwarder.route_table
+        policy = None if table is None else table.find_policy(record.service)
+        if policy is None:
+            return record
+        return replace(
+            record,
+            connections=policy.max_connections,
+            cold_per_s=policy.cold_per_s,
+        )
+
+    def _release_brake(self) -> None:
+        for guard in self._guards.values():
+            guard.suspicion.clear()
+        self.close_some()
+
+    def _recheck(self, server: str) -> None:
+        self._rechecks.discard(server)
+        guard = self._guards.get(server)
+        if guard is None:
+            return
+        while (call := guard.grant_waiting(self._forwarder.now)) is not None:
+            use_slot(call, guard)
+        if guard.waiting:
+            self.recheck_waiting(guard)
+
+
+def _fail_waiting(guard: GuardState, reason: Reason) -> None:
+    for call in list(guard.waiting):
+        guard.forget_waiting(call)
+        call.fail_attempt(refuse_unrun(reason))
--- a/monsoontray/forwarding/report.py
+++ b/monsoontray/forwarding/report.py
@@ -93,7 +93,7 @@
             side=get_side(route),
             route=route.name,
             server=call.server,
-            tried=",".join(call.tried),
+            tried=",".join(call.attempts.tried),
             ms=round((self._forwarder.now - call.started) * 1000, 1),
             left_ms=round((route.deadline - self._forwarder.now) * 1000),
             **fields,
