Let suspicions of a version stand, so that they are seen together

Two guards suspected it at 11.6 s, but calls under way that ended well took their evidence below the limit before the decider looked. Ruled out: evidence not read (all guards answered). Change: a suspicion stands for 3 s, and a server suspected twice counts even while the old version fails too.

--- a/monsoontray/decisions/rollouts.py
+++ b/monsoontray/decisions/rollouts.py
@@ -18,11 +18,14 @@
 #: Evidence at which a server's calls are taken as those of a bad version: odds of
 #: about 1,000 to 1.
 SUSPICION_LIMIT = 7.0
+#: Time that a suspicion stands, so that those of several servers are seen together.
+SUSPECTED_S = 3.0
 #: A call that takes this many times as long as the old version's counts as failed.
 SLOW_FACTOR = 4.0
 MIN_SLOW_S = 0.05  # shorter calls are not told apart from noise
 MIN_EVIDENCE = 20  # calls of the new version before it gets more
 SUSPECTS = 2  # servers that must fail alike, so that it is not a single fault
+STRIKES = 2  # suspicions of one server that count whatever the old version does
 MEAN_WEIGHT = 0.1  # of the latest call in the mean time of a route
 
 _FAILURE_EVIDENCE = math.log(BAD_FAILURES / SOUND_FAILURES)
@@ -83,6 +86,7 @@
     calls: int
     suspected: bool
     means: Mapping[str, float]  # seconds that a call takes, by route
+    strikes: int = 0  # times that the server was suspected
 
 
 class Suspicion:
@@ -93,17 +97,24 @@
     It is kept for all calls and for each route.
     """
 
-    __slots__ = ("_evidence", "calls", "means")
+    __slots__ = ("_evidence", "calls", "means", "strikes", "suspected_until")
 
     def __init__(self) -> None:
         self._evidence: dict[str, float] = {}
+        self.strikes = 0
+        self.suspected_until = 0.0
         self.calls = 0
         self.means: dict[str, float] = {}
 
     def note(
-        self, route: str, seconds: float, failed: bool, baseline_s: float | None
-    ) -> None:
-        """Take a call that has ended."""
+        self,
+        route: str,
+        seconds: float,
+        failed: bool,
+        baseline_s: float | None,
+        now: float,
+    ) -> bool:
+        """Take a call that has ended; say whether it brought the suspicion."""
         self.calls += 1
         mean = self.means.get(route, seconds)
         self.means[route] = mean + (seconds - mean) * MEAN_WEIGHT
@@ -113,14 +124,17 @@
         for key in ("", route):
             evidence = self._evidence.get(key, 0.0) + step
             self._evidence[key] = max(0.0, evidence)
-
-    def is_suspected(self) -> bool:
-        """Say whether the calls speak against the version."""
-        return any(value >= SUSPICION_LIMIT for value in self._evidence.values())
-
-    def clear(self) -> None:
-        """Forget the evidence, not the mean times."""
+        if max(self._evidence.values()) < SUSPICION_LIMIT or self.is_suspected(now):
+            return False
+        # Calls that were under way may still end well; the suspicion stands.
+        self.suspected_until = now + SUSPECTED_S
+        self.strikes += 1
         self._evidence.clear()
+        return True
+
+    def is_suspected(self, now: float) -> bool:
+        """Say whether the calls spoke against the version a short time ago."""
+        return now < self.suspected_until
 
 
 def decide_phase(
@@ -151,7 +165,11 @@
 def is_version_bad(
     new: Collection[ServerEvidence], old: Collection[ServerEvidence]
 ) -> bool:
-    """Say whether the servers of a new version fail, unlike those of the old one."""
+    """Say whether the servers of a new version fail, unlike those of the old one.
+
+    Where the old version's fail as well, the version is given a second try: taking
+    back a good one costs less than leaving a bad one.
+    """
     suspects = sum(each.suspected for each in new)
     if not suspects:
         return False
@@ -159,7 +177,9 @@
     if suspects < min(SUSPECTS, tried):
         return False
     old_suspects = sum(each.suspected for each in old)
-    return old_suspects * 2 <= len(old)
+    if old_suspects * 2 <= len(old):
+        return True
+    return any(each.strikes >= STRIKES for each in new)
 
 
 def average_means(evidence: Collection[ServerEvidence]) -> dict[str, float]:
--- a/monsoontray/forwarding/guards.py
+++ b/monsoontray/forwarding/guards.py
@@ -129,7 +129,7 @@
         if not versions.weigh(guard, route, seconds, failed, forwarder.now):
             return
         self.close_some()
-        forwarder.timers.add(versions.get_brake_deadline(), self._release_brake)
+        forwarder.timers.add(guard.suspicion.suspected_until, self.close_some)
         forwarder.kernel.post("rollouts", VersionSuspected(guard.record.service))
         logger.bind(
             server=guard.record.server,
@@ -145,7 +145,7 @@
 
     def read_evidence(self) -> list[ServerEvidence]:
         """Return what the guards have seen of their servers."""
-        return read_evidence(self._guards.values())
+        return read_evidence(self._guards.values(), self._forwarder.now)
 
     def report_loads(self, loads: LoadView) -> None:
         """Tell the load of the local servers, which no response carries."""
@@ -182,11 +182,6 @@
             cold_per_s=policy.cold_per_s,
         )
 
-    def _release_brake(self) -> None:
-        for guard in self._guards.values():
-            guard.suspicion.clear()
-        self.close_some()
-
     def _recheck(self, server: str) -> None:
         self._rechecks.discard(server)
         guard = self._guards.get(server)
--- a/monsoontray/forwarding/versions.py
+++ b/monsoontray/forwarding/versions.py
@@ -21,19 +21,14 @@
     from monsoontray.decisions.guard import GuardState
     from monsoontray.decisions.servers import Endpoint
 
-#: Time that a guard passes nothing on after its server's calls spoke against its
-#: version; whoever decides on the rollout has the evidence by then.
-BRAKE_S = 2.0
-
 
 class VersionGate:
     """Hold the plans of rollouts and apply them."""
 
-    __slots__ = ("_braked_until", "_plans")
+    __slots__ = ("_plans",)
 
     def __init__(self) -> None:
         self._plans: dict[str, Plan] = {}
-        self._braked_until = 0.0
 
     def use_plans(self, plans: Iterable[Plan]) -> None:
         """Take the changed plans."""
@@ -57,14 +52,8 @@
         baseline_s = None
         if plan is not None and record.version == plan.target:
             baseline_s = plan.baseline.get(route)
-        was_suspected = guard.suspicion.is_suspected()
-        guard.suspicion.note(route, seconds, failed, baseline_s)
-        if was_suspected or not guard.suspicion.is_suspected():
-            return False
-        if not self._is_on_trial(guard):
-            return False
-        self._braked_until = now + BRAKE_S
-        return True
+        is_new = guard.suspicion.note(route, seconds, failed, baseline_s, now)
+        return is_new and self._is_on_trial(guard)
 
     def is_too_slow(self, guard: GuardState, route: str, seconds: float) -> bool:
         """Say whether an unfinished call already took far longer than usual."""
@@ -79,14 +68,10 @@
         record = guard.record
         if is_blocked(self._plans.get(record.service), record.version):
             return Reason.VERSION_BLOCKED
-        if self._is_on_trial(guard) and now < self._braked_until:
+        if self._is_on_trial(guard) and guard.suspicion.is_suspected(now):
             return Reason.VERSION_BLOCKED
         return None
 
-    def get_brake_deadline(self) -> float:
-        """Return until when local servers on trial get nothing."""
-        return self._braked_until
-
     def _is_on_trial(self, guard: GuardState) -> bool:
         plan = self._plans.get(guard.record.service)
         if plan is None or plan.phase in DECIDED:
@@ -94,14 +79,15 @@
         return guard.record.version == plan.target
 
 
-def read_evidence(guards: Iterable[GuardState]) -> list[ServerEvidence]:
+def read_evidence(guards: Iterable[GuardState], now: float) -> list[ServerEvidence]:
     """Return what guards have seen of their servers."""
     return [
         ServerEvidence(
             guard.record.version,
             guard.suspicion.calls,
-            guard.suspicion.is_suspected(),
+            guard.suspicion.is_suspected(now),
             dict(guard.suspicion.means),
+            guard.suspicion.strikes,
         )
         for guard in guards
     ]
--- a/tests/test_decisions/test_rollouts.py
+++ b/tests/test_decisions/test_rollouts.py
@@ -8,6 +8,7 @@
 from monsoontray.decisions.rollouts import (
     MIN_EVIDENCE,
     SLOW_FACTOR,
+    SUSPECTED_S,
     Phase,
     Plan,
     ServerEvidence,
@@ -35,10 +36,10 @@
     for i in range(1, limit + 1):
         bad = random.random() < bad_share
         if baseline_s is None:
-            suspicion.note("r", 0.1, bad, None)
+            suspicion.note("r", 0.1, bad, None, 0.0)
         else:
-            suspicion.note("r", slow_s if bad else 0.1, False, baseline_s)
-        if suspicion.is_suspected():
+            suspicion.note("r", slow_s if bad else 0.1, False, baseline_s, 0.0)
+        if suspicion.is_suspected(0.0):
             return i
     return limit
 
@@ -82,10 +83,12 @@
     assert is_version_bad([suspect, replace(NEW, calls=0)], [OLD])
 
 
-def test_a_fault_of_the_whole_service_is_not_the_version():
-    suspect = replace(NEW, suspected=True)
+def test_a_fault_of_the_whole_service_is_not_the_version_at_first():
+    suspect = replace(NEW, suspected=True, strikes=1)
     old = replace(OLD, suspected=True)
     assert not is_version_bad([suspect, suspect], [old, old, OLD])
+    again = replace(suspect, strikes=2)
+    assert is_version_bad([again, suspect], [old, old, OLD])
 
 
 def test_bad_versions_are_found_within_few_calls():
@@ -112,15 +115,25 @@
     assert count_until_suspected(random, 0.5, 200, 0.15, baseline_s=0.1) == 200
 
 
+def test_a_suspicion_stands_though_calls_under_way_still_end_well():
+    suspicion = Suspicion()
+    told = [suspicion.note("r", 0.1, True, None, 1.0) for _ in range(6)]
+    assert told.count(True) == 1
+    for _ in range(50):
+        assert not suspicion.note("r", 0.1, False, None, 1.5)
+    assert suspicion.is_suspected(1.5)
+    assert not suspicion.is_suspected(1.0 + SUSPECTED_S)
+
+
 def test_one_bad_route_among_good_ones_is_found():
     suspicion = Suspicion()
     for i in range(100):
-        suspicion.note("good", 0.1, False, None)
-        suspicion.note("good", 0.1, False, None)
-        suspicion.note("bad", 0.1, i % 2 == 0, None)
-        if suspicion.is_suspected():
+        suspicion.note("good", 0.1, False, None, 0.0)
+        suspicion.note("good", 0.1, False, None, 0.0)
+        suspicion.note("bad", 0.1, i % 2 == 0, None, 0.0)
+        if suspicion.is_suspected(0.0):
             break
-    assert suspicion.is_suspected()
+    assert suspicion.is_suspected(0.0)
     assert i < 20
 
 
