--- a/monsoontray/discovery/watch.py
+++ b/monsoontray/discovery/watch.py
@@ -30,6 +30,7 @@
 EVERYTHING = ""
 FIRST_RETRY_S = 0.1  # pause after a first failed call, doubled up to the last
 LAST_RETRY_S = 0.8
+LOST_WAIT_S = 0.2  # longest wait of a watch while the store is lost
 #: Pause between watches, in which changes that come together are collected.
 COLLECT_S = 0.25
 
@@ -84,7 +85,10 @@
     def _watch(self) -> float:
         """Wait for changes; return when to go on."""
         assert self._revision is not None
-        outcome = self._client.watch_prefix(EVERYTHING, self._revision, self._wait_s)
+        # A call that the store does not answer is given up sooner while it is lost,
+        # so that its return is seen at once.
+        wait_s = LOST_WAIT_S if self._is_lost else self._wait_s
+        outcome = self._client.watch_prefix(EVERYTHING, self._revision, wait_s)
         if isinstance(outcome, NotDone):
             return self._fail("watch", outcome)
         self._succeed()
--- a/monsoontray/platform/store.py
+++ b/monsoontray/platform/store.py
@@ -41,7 +41,7 @@
     WriteOutcome,
 )
 
-WATCH_MARGIN_S = 0.7  # beyond the wait that was asked for: a slow answer on its way
+WATCH_MARGIN_S = 0.5  # beyond the wait that was asked for: a slow answer on its way
 MAX_PAGES = 64  # pages of one listing; a page holds about 500 records
 _MS_PER_S = 1000
 _LEASE_LOST = 404
--- a/tests/test_discovery/test_watch.py
+++ b/tests/test_discovery/test_watch.py
@@ -5,7 +5,7 @@
 
 from monsoontray.discovery.messages import StoreChanged, StoreListed
 from monsoontray.discovery.mirror import Mirror
-from monsoontray.discovery.watch import StoreWatch
+from monsoontray.discovery.watch import LOST_WAIT_S, StoreWatch
 from monsoontray.store.outcomes import Listing, Record
 from tests.fakes import Services
 
@@ -65,6 +65,29 @@
     assert len(services.take("operator")) == 1
 
 
+def test_a_lost_store_is_asked_with_short_waits_until_it_is_back(services):
+    waits = []
+    watch_prefix = services.store.watch_prefix
+
+    def record(prefix, revision, wait_s):
+        waits.append(wait_s)
+        return watch_prefix(prefix, revision, wait_s)
+
+    services.store.watch_prefix = record
+    watch = StoreWatch(services)
+    step(watch)
+    step(watch)
+    services.store.down = True
+    step(watch)
+    step(watch)
+    services.store.down = False
+    step(watch)
+    step(watch)
+    usual = waits[0]
+    assert waits == [usual, usual, LOST_WAIT_S, LOST_WAIT_S, usual]
+    assert usual > LOST_WAIT_S
+
+
 def test_a_newer_copy_of_a_peer_is_taken_while_the_store_is_lost(services):
     watch = StoreWatch(services)
     step(watch)
