Concentrate a phase's calls on as small a share of the new servers

Ruled out: a late decision (taken back within a second of the suspicions). Change: each phase uses as large a part of the servers as its share of the calls, two at least.

--- a/monsoontray/decisions/rollouts.py
+++ b/monsoontray/decisions/rollouts.py
@@ -210,5 +210,15 @@
     if is_retry:
         return old or new
     if draw < share:
-        return new or old
+        return concentrate(new, share) or old
     return old
+
+
+def concentrate(servers: Collection[Endpoint], share: float) -> list[Endpoint]:
+    """Return as large a part of the servers as their share of the calls is.
+
+    Each of them then bears what it would bear alone, so that a version which is
+    bad under load shows it before most calls have moved.
+    """
+    count = max(SUSPECTS, math.ceil(share * len(servers)))
+    return sorted(servers, key=lambda each: each.server)[:count]
--- a/tests/test_decisions/test_rollouts.py
+++ b/tests/test_decisions/test_rollouts.py
@@ -157,6 +157,16 @@
     assert select(Phase.ROLLED_BACK, [new]) == []
 
 
+def test_a_share_of_the_calls_goes_to_as_small_a_share_of_the_servers():
+    servers = [build_endpoint(f"n{i}", "zone-a", version="v2") for i in range(8)]
+    for phase, count in ((Phase.CANARY, 2), (Phase.QUARTER, 2), (Phase.HALF, 4)):
+        plan = msgspec.structs.replace(PLAN, phase=phase)
+        chosen = select_servers(plan, servers[::-1], False, 0.0)
+        assert chosen == servers[:count]
+    plan = msgspec.structs.replace(PLAN, phase=Phase.FULL)
+    assert select_servers(plan, servers, False, 0.0) == servers
+
+
 def test_guards_pass_nothing_on_to_a_version_without_a_share():
     def blocks(phase, version):
         return is_blocked(msgspec.structs.replace(PLAN, phase=phase), version)
