--- a/monsoontray/decisions/servers.py
+++ b/monsoontray/decisions/servers.py
@@ -177,6 +177,11 @@
         load = self._loads.get(server)
         return -math.inf if load is None else load.heard_at
 
+    def find_age_ms(self, server: str, now: float) -> int | None:
+        """Return how old the news of a server is, in milliseconds; None without any."""
+        heard_at = self.get_heard_at(server)
+        return None if heard_at == -math.inf else round((now - heard_at) * 1000)
+
     def forget_except(self, servers: Collection[str]) -> None:
         """Forget the servers that are gone and have no call left."""
         for server in list(self._loads):
--- a/monsoontray/forwarding/report.py
+++ b/monsoontray/forwarding/report.py
@@ -20,6 +20,7 @@
 #: of a core.
 LINES_PER_S = 100
 LINES_AT_ONCE = 200  # after a quiet time
+KEPT_LINES = 100  # of these, for calls that did not simply end well
 
 
 class Report:
@@ -81,12 +82,13 @@
         self._metrics.responses += 1
         side = get_side(call.route)
         self._metrics.observe_call(side, self._forwarder.now - call.started)
-        self._log("call answered", call)
+        self._log("call answered", call, KEPT_LINES if not call.attempts.tried else 0)
 
-    def _log(self, text: str, call: Call, **fields: Any) -> None:
-        if not self._take_line():
+    def _log(self, text: str, call: Call, kept: int = 0, **fields: Any) -> None:
+        if not self._take_line(kept):
             return
         route = call.route
+        loads, now = self._forwarder.loads, self._forwarder.now
         self._write(
             text,
             call=call.call_id,
@@ -94,8 +96,9 @@
             route=route.name,
             server=call.server,
             tried=",".join(call.attempts.tried),
-            ms=round((self._forwarder.now - call.started) * 1000, 1),
-            left_ms=round((route.deadline - self._forwarder.now) * 1000),
+            load_ms=loads.find_age_ms(call.server, now),
+            ms=round((now - call.started) * 1000, 1),
+            left_ms=round((route.deadline - now) * 1000),
             **fields,
         )
 
@@ -108,12 +111,12 @@
             self._suppressed = 0
         logger.bind(version=number, **fields).info(text)
 
-    def _take_line(self) -> bool:
+    def _take_line(self, kept: int = 0) -> bool:
         now = self._forwarder.now
         refill = (now - self._refilled) * LINES_PER_S
         self._lines = min(LINES_AT_ONCE, self._lines + refill)
         self._refilled = now
-        if self._lines < 1.0:
+        if self._lines < 1.0 + kept:
             self._suppressed += 1
             self._metrics.count_suppressed_line()
             return False
--- a/monsoontray/settings/declarations.py
+++ b/monsoontray/settings/declarations.py
@@ -184,7 +184,7 @@
     Declaration(
         "log_file",
         str,
-        "Path of the log; empty means standard error.",
+        "Path of the log; empty means standard output.",
         default="",
     ),
     Declaration(
