Tell lost connections from lost servers; avoid silent guards

Calls that met a cut node, or a server that kept an answer, waited for their deadline. A stopping node's server got nothing for the whole stop, and a server that joined got calls from its own node only. Ruled out: a longer heartbeat (it is the platform's); treating no loss as doubt (a server that starts anew is cold, FAILBACK); lowering TCP_USER_TIMEOUT (two lost packets in a row would end good connections). Change: a server that answered within 0.5 s is connected to again before it is doubted; guards say when a cold server has room, and callers leave it out until then; lost guards are probed by connections, not by calls; an idempotent attempt that takes 2.5 times as long as its route and server should is given to another server, within the budget; word of a stop goes out 0.5 s before the doors close; one idempotent call in twenty may explore a near server that was not heard of for 2 s. Tests (failing before): given_to_another, not_taken_for_a_cold_one, used_while.

--- a/bench/standins/mesh.py
+++ b/bench/standins/mesh.py
@@ -14,6 +14,7 @@
 
 HEARTBEAT_INTERVAL_S = 0.2  # faster than on the platform, for short tests
 MS_PER_S = 1000
+SILENT_S = 60.0  # longer than any test
 SEAL = "X-Response-Seal"
 CALL_ID = "X-Request-Id"
 EXTRA_ANSWER = (
@@ -32,6 +33,8 @@
     extra: bool = False  # an answer to another request goes before each answer
     unsealed: bool = False  # successes bear no seal
     truncate: bool = False  # answers break off
+    silent: bool = False  # requests run and are never answered
+    silence: bool = False  # no heartbeats are sent
     state: str = "ready"
     cold_left_s: float = 0.0
 
@@ -90,6 +93,9 @@
         url = f"http://{self.node}/rpc?call=instances.heartbeat&of={self.name}"
         async with ClientSession(timeout=ClientTimeout(1.0)) as session:
             while True:
+                if self.behaviour.silence:
+                    await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+                    continue
                 self.sequence += 1
                 body = {
                     **self.heartbeat,
@@ -134,6 +140,8 @@
         except asyncio.CancelledError:
             self.observed.cancelled += 1
             raise
+        if behaviour.silent:
+            await asyncio.sleep(SILENT_S)
         if behaviour.lose:
             assert request.transport is not None
             request.transport.abort()
--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass
 from heapq import heappop, heappush
@@ -17,6 +18,9 @@
 SERVICE_WEIGHT = 0.1  # of the latest call in the mean service time
 SERVICE_SHARE = 0.7  # of the mean service time that a call needs at least
 RECHECK_S = 0.1  # time after which waiting calls are looked at again
+#: A server that was heard of later than this has not started anew since: the
+#: shortest time without a server in the deployments is a second.
+ALIVE_S = 0.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -58,6 +62,7 @@
         "_starts",
         "closed",
         "confirmed",
+        "heard_at",
         "in_use",
         "queue_limit",
         "record",
@@ -78,6 +83,7 @@
         #: Whether the server announced itself since it was last in doubt. Until
         #: then it is treated as cold, since it may have started anew.
         self.confirmed = True
+        self.heard_at = -math.inf  # when the server sent a response last
         self.suspicion = Suspicion()
         self._cold = cold or ColdLimits()
         self._starts: deque[float] = deque()
@@ -88,6 +94,10 @@
         """Return how many calls may run at once."""
         return min(self.record.slots, self.record.connections)
 
+    def was_alive(self, now: float) -> bool:
+        """Say whether the server responded a short time ago."""
+        return now - self.heard_at < ALIVE_S
+
     def is_cold(self, now: float) -> bool:
         """Say whether the server bears little now."""
         if not self.record.cold_per_s:
@@ -110,7 +120,7 @@
         if self.closed is not None:
             return refuse_unrun(self.closed)
         if not self._has_cold_room(now):
-            return Refusal(Reason.SERVER_COLD, Ran.NOT_RUN, COLD_WINDOW_S)
+            return Refusal(Reason.SERVER_COLD, Ran.NOT_RUN, self._find_cold_wait(now))
         if self.in_use < self.get_capacity():
             self._start(now)
             return Granted()
@@ -173,6 +183,10 @@
         limit = bound * COLD_SHARE
         return len(self._starts) + 1 <= limit
 
+    def _find_cold_wait(self, now: float) -> float:
+        """Return the time until the server bears a further call."""
+        return self._starts[0] + COLD_WINDOW_S - now if self._starts else COLD_WINDOW_S
+
     def _drop_old_starts(self, now: float) -> None:
         while self._starts and self._starts[0] <= now - COLD_WINDOW_S:
             self._starts.popleft()
--- a/monsoontray/decisions/outcomes.py
+++ b/monsoontray/decisions/outcomes.py
@@ -34,6 +34,7 @@
     NODE_STOPPING = "node-stopping"
     DEADLINE_PASSED = "deadline-passed"
     CONNECTION_LOST = "connection-lost"
+    NO_ANSWER = "no-answer"
     BAD_RESPONSE = "bad-response"
     NO_ROUTE = "no-route"
     WRONG_SERVER = "wrong-server"
--- a/monsoontray/decisions/retries.py
+++ b/monsoontray/decisions/retries.py
@@ -54,7 +54,7 @@
     return Refusal(reason, attempt.ran)
 
 
-MAX_OFFERS = 4  # guards that a call is offered to while none has taken it
+MAX_OFFERS = 6  # guards that a call is offered to while none has taken it
 #: How sure it is that a call ran, in rising order.
 _CERTAINTY = {Ran.NOT_RUN: 0, Ran.REJECTED: 1, Ran.UNKNOWN: 2}
 
--- a/monsoontray/decisions/servers.py
+++ b/monsoontray/decisions/servers.py
@@ -8,13 +8,15 @@
 from dataclasses import dataclass
 from random import Random
 
-PENALTY_S = 0.5  # time that a server is avoided after a first failed connection
-MAX_PENALTY_FACTOR = 4  # the penalty doubles up to this factor
 REPORT_LIFETIME_S = 0.5  # a report is older than most calls take after this time
 DEFAULT_SERVICE_S = 0.1  # assumed while no server of a service reported any
 UTILIZATION_COST = 0.3  # servers slow down by about this share when nearly full
 FAILURE_WEIGHT = 0.1  # of the latest call in the share of failed calls
 FAILURE_COST = 4.0  # service times that a failed call costs: the wait and the retry
+#: Share of the idempotent calls that may go to a near server which was not heard of
+#: for some time, so that new servers are used and recovered ones found.
+EXPLORED_SHARE = 0.05
+UNHEARD_S = 2.0
 NOISE = 0.1  # share by which estimates are varied at random
 #: Handicaps of another zone. Bytes between zones have a price: that of 2.5 kB is
 #: about a thirtieth of what a small call earns, that of 60 kB half of an upload's.
@@ -106,14 +108,14 @@
     """Hold what one node knows of the load of one server."""
 
     __slots__ = (
-        "avoid_until",
-        "avoided",
         "calls",
         "calls_at_report",
         "failing",
+        "full_until",
         "heard_at",
         "report",
         "report_deadline",
+        "unreachable",
     )
 
     def __init__(self) -> None:
@@ -122,8 +124,8 @@
         self.calls_at_report = 0
         self.report_deadline = 0.0
         self.failing = 0.0  # share of failed calls, the latest counting most
-        self.avoid_until = 0.0
-        self.avoided = 0  # times in a row that the server could not be reached
+        self.full_until = 0.0  # as its guard has said
+        self.unreachable = False
         self.heard_at = -math.inf
 
 
@@ -147,8 +149,7 @@
         """Take an answer of a server's guard, with the load that it reports."""
         load = self._find(server)
         load.heard_at = now
-        load.avoid_until = 0.0
-        load.avoided = 0
+        load.unreachable = False
         if report is not None:
             load.report = report
             load.calls_at_report = load.calls
@@ -159,18 +160,22 @@
         load = self._find(server)
         load.failing += ((1.0 if failed else 0.0) - load.failing) * FAILURE_WEIGHT
 
-    def avoid(self, server: str, now: float) -> None:
-        """Avoid a server for a while since it could not be reached."""
-        load = self._find(server)
-        if load.avoid_until <= now:
-            load.avoided += 1
-        factor = min(2 ** (load.avoided - 1), MAX_PENALTY_FACTOR)
-        load.avoid_until = now + PENALTY_S * factor
+    def mark_unreachable(self, server: str) -> None:
+        """Avoid a server until its guard is heard of."""
+        self._find(server).unreachable = True
+
+    def mark_reachable(self, server: str, now: float) -> None:
+        """Use a server again whose guard accepted a connection."""
+        self.hear(server, None, now)
+
+    def mark_full(self, server: str, until: float) -> None:
+        """Avoid a server until it has room, as its guard has said."""
+        self._find(server).full_until = until
 
     def is_avoided(self, server: str, now: float) -> bool:
         """Say whether a server is avoided now."""
         load = self._loads.get(server)
-        return load is not None and load.avoid_until > now
+        return load is not None and (load.unreachable or load.full_until > now)
 
     def get_heard_at(self, server: str) -> float:
         """Return when a server's guard answered last."""
@@ -198,6 +203,13 @@
         return sum(times) / len(times) if times else DEFAULT_SERVICE_S
 
     def estimate(self, endpoint: Endpoint, now: float, usual_s: float) -> float:
+        """Return the seconds that a further call would cost at a server."""
+        load = self._loads.get(endpoint.server)
+        failing = 0.0 if load is None else load.failing
+        retried = 1.0 + failing * FAILURE_COST
+        return self.expect(endpoint, now, usual_s) * retried
+
+    def expect(self, endpoint: Endpoint, now: float, usual_s: float) -> float:
         """Return the seconds that a further call would take at a server.
 
         A server that reported nothing yet is assumed to take ``usual_s``.
@@ -216,8 +228,7 @@
         utilization = (calls + 1) / slots
         waiting = max(0.0, utilization - 1.0)
         busy = UTILIZATION_COST * min(utilization, 1.0)
-        retried = load.failing * FAILURE_COST
-        return service_s * (1.0 + busy + waiting + retried)
+        return service_s * (1.0 + busy + waiting)
 
     def _find(self, server: str) -> ServerLoad:
         load = self._loads.get(server)
@@ -244,8 +255,12 @@
     now: float,
     random: Random,
     body_bytes: int = 0,
+    may_explore: bool = False,
 ) -> Endpoint | None:
-    """Choose the server that would answer soonest, distance included."""
+    """Choose the server that would answer soonest, distance included.
+
+    A call that may explore now and then goes to a server of which little is known.
+    """
     usable = [
         endpoint
         for endpoint in candidates
@@ -257,6 +272,15 @@
     preferred = [
         endpoint for endpoint in usable if not loads.is_avoided(endpoint.server, now)
     ]
+    if may_explore and random.random() < EXPLORED_SHARE:
+        unheard = [
+            endpoint
+            for endpoint in preferred
+            if endpoint.zone == place.zone
+            and loads.get_heard_at(endpoint.server) < now - UNHEARD_S
+        ]
+        if unheard:
+            return random.choice(unheard)
     usual_s = loads.average_service(usable)
 
     def score(endpoint: Endpoint) -> float:
--- a/monsoontray/forwarding/attempts.py
+++ b/monsoontray/forwarding/attempts.py
@@ -40,21 +40,43 @@
 
 @start_attempt.register(EntryRoute)
 def _(route: EntryRoute, call: Call) -> None:
+    endpoint = choose_next(route, call)
+    if endpoint is None:
+        none_left = Refusal(Reason.NO_SERVER, Ran.NOT_RUN, NO_SERVER_RETRY_S)
+        call.refuse(call.attempts.last or none_left)
+    else:
+        start_at(endpoint, route, call)
+
+
+@start_attempt.register(GuardRoute)
+def _(route: GuardRoute, call: Call) -> None:
+    start_local(call, route.server)
+
+
+def choose_next(route: EntryRoute, call: Call) -> Endpoint | None:
+    """Return the server for the next attempt of a call, if one is left."""
     forwarder = call.forwarder
-    endpoint = choose_server(
-        forwarder.find_candidates(route.service, bool(call.attempts.tried)),
+    tried = call.attempts.tried
+    if call.server:
+        tried = [*tried, call.server]
+    return choose_server(
+        forwarder.find_candidates(route.service, bool(tried)),
         route.resource,
         forwarder.place,
-        call.attempts.tried,
+        tried,
         forwarder.loads,
         forwarder.now,
         forwarder.random,
         _estimate_body(call.head),
+        may_explore=route.idempotent and not tried,
     )
-    if endpoint is None:
-        none_left = Refusal(Reason.NO_SERVER, Ran.NOT_RUN, NO_SERVER_RETRY_S)
-        call.refuse(call.attempts.last or none_left)
-        return
+
+
+def start_at(endpoint: Endpoint, route: EntryRoute, call: Call) -> None:
+    """Make an attempt at a server."""
+    forwarder = call.forwarder
+    usual_s = forwarder.loads.average_service((endpoint,))
+    call.expect_response(forwarder.loads.expect(endpoint, forwarder.now, usual_s))
     call.server = endpoint.server
     forwarder.loads.begin(endpoint.server)
     if endpoint.node == forwarder.place.node:
@@ -63,11 +85,6 @@
         call.send_to(_build_guard_hop(endpoint, route))
 
 
-@start_attempt.register(GuardRoute)
-def _(route: GuardRoute, call: Call) -> None:
-    start_local(call, route.server)
-
-
 def start_local(call: Call, server: str) -> None:
     """Ask for a slot of the local backend server."""
     guard = call.forwarder.guards.find(server)
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -18,7 +18,7 @@
     Retry,
     decide_after_failure,
 )
-from monsoontray.forwarding.attempts import start_attempt
+from monsoontray.forwarding.attempts import choose_next, start_at, start_attempt
 from monsoontray.forwarding.heads import (
     LAST_CHUNK,
     Framing,
@@ -44,19 +44,24 @@
     from monsoontray.forwarding.caller import Exchange
     from monsoontray.forwarding.forwarder import Forwarder
     from monsoontray.forwarding.upstream import UpstreamConnection
+    from monsoontray.kernel.timers import Timer
 
 FIRST_FAILURE_STATUS = 500
+MAX_AVOIDED_S = 0.3  # time that a cold server which refused is left out at most
 
 
 class Call:
     """Join a caller's request to the attempts made for it."""
 
     __slots__ = (
+        "_attempt_started",
         "_body",
+        "_expected_s",
         "_guard_refusal",
         "_held",
         "_hop",
         "_id_line",
+        "_patience",
         "_sent",
         "_slot_since",
         "_timer",
@@ -102,6 +107,9 @@
         self._guard_refusal: Refusal | None = None  # stated by the guard, arriving
         self._held: HeldResponse | None = None
         self._hop: Hop | None = None
+        self._attempt_started = self.started
+        self._expected_s = 0.0  # time that the current attempt should take
+        self._patience: Timer | None = None
         self._sent = False
         self._slot_since = 0.0
         self._timer = forwarder.timers.add(route.deadline, self._pass_deadline)
@@ -117,6 +125,16 @@
         self._sent = False
         start_attempt(self.route, self)
 
+    def expect_response(self, expected_s: float) -> None:
+        """Wait for the response of an attempt with a patience that fits it."""
+        self._attempt_started = self.now
+        self._expected_s = expected_s
+        self._drop_patience()
+        times = self.forwarder.response_times
+        due = self.now + times.find_patience(self.route.name, expected_s)
+        if due < self.route.deadline:
+            self._patience = self.forwarder.timers.add(due, self._lose_patience)
+
     def hold_slot(self, guard: GuardState) -> None:
         """Note that the call holds a slot of a local backend server."""
         self.guard = guard
@@ -200,6 +218,8 @@
     def on_response_head(self, head: ResponseHead) -> bool:
         """Take the head of a response; say whether it belongs to this call."""
         assert self._hop is not None
+        if self.guard is not None:
+            self.guard.heard_at = self.now
         if self._hop.is_guard:
             self.forwarder.loads.hear(self.server, read_load(head), self.now)
             self._guard_refusal = read_refusal(head)
@@ -209,6 +229,7 @@
         verdict = judge_response(head, self.call_id, vocabulary)
         if isinstance(verdict, Foreign):
             return False
+        self._drop_patience()
         if isinstance(verdict, Refusal):
             self._drop_upstream()
             if verdict.ran is Ran.UNKNOWN:
@@ -247,12 +268,18 @@
         held = self._held
         if held is not None:
             held.complete()
-            if held.head.status >= FIRST_FAILURE_STATUS and self._try_replace():
+            failed = held.head.status >= FIRST_FAILURE_STATUS
+            if failed and self._try_replace(
+                Reason.SERVER_FAILED, self.now - self.started
+            ):
                 return
             self._release_held(held)
         if self.attempts.arrive():
             self._count_arrival()
         self._note_outcome(self._is_failure(held))
+        if isinstance(self.route, EntryRoute):
+            seconds = self.now - self._attempt_started
+            self.forwarder.response_times.note(self.route.name, seconds)
         self.forwarder.report.response(self)
         self._end()
         self.exchange.end_response()
@@ -261,9 +288,9 @@
         """Act on the loss of the connection that carries the call."""
         self.upstream = None
         if self.guard is not None:
-            self.forwarder.guards.doubt(self.guard, reason)
-        elif reason is Reason.UNREACHABLE:
-            self.forwarder.loads.avoid(self.server, self.now)
+            self.forwarder.guards.note_loss(self.guard, reason)
+        elif self._hop is not None and self._hop.is_guard:
+            self._suspect_guard(self._hop, reason)
         if self._guard_refusal is not None:
             self._follow_guard_refusal(self._guard_refusal)
             return
@@ -273,6 +300,9 @@
     def fail_attempt(self, refusal: Refusal) -> None:
         """Give up an attempt: try again, refuse or cut."""
         self._held = None
+        if refusal.reason is Reason.SERVER_COLD and self.server:
+            until = self.now + min(refusal.retry_after_s, MAX_AVOIDED_S)
+            self.forwarder.loads.mark_full(self.server, until)
         self._leave_attempt(refusal)
         has_run = refusal.ran is not Ran.NOT_RUN
         may_offer = isinstance(self.route, EntryRoute)
@@ -345,24 +375,55 @@
         for part in held.parts:
             self.exchange.write_response_body(part)
 
-    def _try_replace(self) -> bool:
-        """Start another attempt in place of a failed response; say if it began."""
+    def _lose_patience(self) -> None:
+        """Act on a server or a guard that has not answered for long."""
+        self._patience = None
+        if self._guard_refusal is not None:
+            return
+        if self._hop is not None and self._hop.is_guard:
+            self._suspect_guard(self._hop, Reason.NO_ANSWER)
+        self._try_replace(Reason.NO_ANSWER, self._expected_s)
+
+    def _drop_patience(self) -> None:
+        if self._patience is not None:
+            self.forwarder.timers.cancel(self._patience)
+            self._patience = None
+
+    def _suspect_guard(self, hop: Hop, reason: Reason) -> None:
+        if reason is Reason.UNREACHABLE:
+            self.forwarder.reachability.lose(self.server, hop.address)
+        elif reason is not Reason.BAD_RESPONSE:
+            self.forwarder.reachability.check(self.server, hop.address)
+
+    def _try_replace(self, reason: Reason, needed_s: float) -> bool:
+        """Start another attempt in place of one that failed; say if it began."""
         route = self.route
         repeatable = route.idempotent and self._body.is_whole
         if not isinstance(route, EntryRoute) or not repeatable:
             return False
-        needed_s = self.now - self.started
         has_time = self.now + needed_s < route.deadline
         if not has_time or self.attempts.sends + 1 >= route.max_attempts:
             return False
-        if not self._try_budget():
+        endpoint = choose_next(route, self)
+        if endpoint is None or self.forwarder.loads.is_avoided(
+            endpoint.server, self.now
+        ):
+            return False
+        refusal = self.qualify(reason)
+        if refusal.ran is not Ran.NOT_RUN and not self._try_budget():
             return False
+        if self._held is None:
+            self._note_unfinished()
+            self.forwarder.loads.note_outcome(self.server, True)
+        else:
+            self._note_outcome(True)
         self._held = None
-        self._note_outcome(True)
-        refusal = refuse_unknown(Reason.SERVER_FAILED)
+        self._drop_upstream()
         self._leave_attempt(refusal)
-        self.forwarder.report.retry(self, Retry(refusal.reason))
-        self.start()
+        self.forwarder.report.retry(self, Retry(reason))
+        self.attempts.offers += 1
+        self._sent = False
+        start_at(endpoint, route, self)
         return True
 
     def _try_budget(self) -> bool:
@@ -372,6 +433,8 @@
         return self.forwarder.budgets.try_retry(route.service, route.name, self.now)
 
     def _leave_attempt(self, refusal: Refusal) -> None:
+        self._drop_patience()
+        self.forwarder.guards.forget_waiting(self)
         if self.attempts.leave(self.server, refusal):
             self._count_arrival()
         self.release()
@@ -428,6 +491,7 @@
             self.refuse(self.qualify(Reason.DEADLINE_PASSED))
 
     def _end(self) -> None:
+        self._drop_patience()
         self.forwarder.timers.cancel(self._timer)
         self.forwarder.guards.forget_waiting(self)
         self.release()
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from monsoontray.decisions.admission import NO_ENTITLEMENTS
 from monsoontray.decisions.budget import RetryBudgets
 from monsoontray.decisions.outcomes import Reason, Refusal, refuse_unrun
+from monsoontray.decisions.patience import ResponseTimes
 from monsoontray.decisions.servers import (
     Endpoint,
     LoadView,
@@ -36,6 +37,7 @@
     UseRoutes,
     UseServers,
 )
+from monsoontray.forwarding.reachability import Reachability
 from monsoontray.forwarding.report import Report
 from monsoontray.forwarding.sides import find_route
 from monsoontray.forwarding.upstream import UpstreamPool
@@ -44,6 +46,7 @@
 from monsoontray.kernel.sockets import SocketTask
 from monsoontray.rollouts.messages import ReadEvidence, UsePlans
 from monsoontray.settings.service import SettingsChanged
+from monsoontray.settings.settings import parse_address
 
 if TYPE_CHECKING:
     from monsoontray.decisions.rollouts import Plan
@@ -56,6 +59,8 @@
 NAME = "forwarding"
 THREAD_SWITCH_S = 0.0005  # longest turn of a thread that keeps the interpreter
 COLLECT_AFTER = 50_000  # new objects between two garbage collections
+#: Time that nodes get to hear that this one leaves, before it closes its doors.
+LEAVE_NOTICE_S = 0.5
 IDLE_CLOSE_S = 0.5  # time that idle callers keep their connection at a stop
 MAX_CALL_ID_LENGTH = 128
 HEARD_S = 3.0  # time that a node which is not listed is used since it answered
@@ -83,6 +88,8 @@
         self.loads = LoadView()
         self.guards = LocalGuards(self, self._interface)
         self.pool = UpstreamPool(self)
+        self.reachability = Reachability(self)
+        self.response_times = ResponseTimes()
         self.dirty_connections: list[Connection] = []
         self.stopping = False
         #: Whether responses ask their callers to use another connection.
@@ -112,10 +119,14 @@
     def begin_stop(self, deadline: float) -> None:
         """Give callers time to go elsewhere; end when the running calls have ended."""
         self.stopping = True
-        self.kernel.post("membership", NodeLeaves())
         self._stop_deadline = deadline
-        if self.limits.stop_notice_s:
-            self.timers.add(self.now + self.limits.stop_notice_s, self._close_doors)
+        notice_s = self.limits.stop_notice_s
+        if notice_s > LEAVE_NOTICE_S:
+            self.timers.add(self.now + notice_s - LEAVE_NOTICE_S, self._leave)
+        else:
+            self._leave()
+        if notice_s:
+            self.timers.add(self.now + notice_s, self._close_doors)
         else:
             self._close_doors()
         self.timers.add(deadline, self.end)
@@ -169,14 +180,10 @@
     def find_candidates(self, service: str, is_retry: bool) -> list[Endpoint]:
         """Return the servers of a service that may take a call now."""
         self.guards.report_loads(self.loads)
-        heard_since = self.now - HEARD_S
         usable = [
             each
             for each in self.servers.find(service)
-            if each.zone not in self.evacuated
-            and (
-                not each.unlisted or self.loads.get_heard_at(each.server) > heard_since
-            )
+            if each.zone not in self.evacuated and self._is_present(each)
         ]
         return self.versions.select(service, usable, is_retry, self.random)
 
@@ -185,6 +192,7 @@
         if self.route_table is not None and table.number <= self.route_table.number:
             return
         self.route_table = table
+        self.response_times.forget_except({each.name for each in table.routes.routes})
         self._limit_callers(table)
         self.guards.use_policies()
 
@@ -234,6 +242,7 @@
         self.servers = servers
         known = servers.get_names()
         self.loads.forget_except(known)
+        self.reachability.forget_except(known)
         self.budgets.use_fleet_size(servers.count())
 
     def use_plans(self, plans: tuple[Plan, ...]) -> None:
@@ -241,6 +250,15 @@
         self.versions.use_plans(plans)
         self.guards.close_some()
 
+    def _is_present(self, endpoint: Endpoint) -> bool:
+        """Say whether a server's node is listed or answered a short time ago."""
+        if not endpoint.unlisted:
+            return True
+        if self.loads.get_heard_at(endpoint.server) > self.now - HEARD_S:
+            return True
+        self.reachability.lose(endpoint.server, parse_address(endpoint.guard_address))
+        return False
+
     def _find_call_id(self, head: RequestHead) -> str:
         given = head.own.get(self.vocabulary.call_id)
         if given and len(given) <= MAX_CALL_ID_LENGTH:
@@ -248,6 +266,10 @@
         self._call_count += 1
         return f"{self.place.node}-{self._call_count:x}"
 
+    def _leave(self) -> None:
+        """Let other nodes use the local server no longer."""
+        self.kernel.post("membership", NodeLeaves())
+
     def _close_doors(self) -> None:
         """Take no new connections; close those that carry no call."""
         self.closes_connections = True
--- a/monsoontray/forwarding/guards.py
+++ b/monsoontray/forwarding/guards.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -89,12 +90,23 @@
             if guard.closed is not None:
                 _fail_waiting(guard, guard.closed)
 
-    def doubt(self, guard: GuardState, reason: Reason) -> None:
-        """Treat a server as cold until it announces itself again."""
-        if reason in _DOUBTFUL and guard.confirmed:
-            guard.confirmed = False
-            message = ServerDoubted(guard.record.server, reason.value)
-            self._forwarder.kernel.post("membership", message)
+    def note_loss(self, guard: GuardState, reason: Reason) -> None:
+        """Take that a connection to a server failed: it may have started anew.
+
+        One that responded a short time ago is connected to again, which only a
+        server that runs allows.
+        """
+        if reason not in _DOUBTFUL or not guard.confirmed:
+            return
+        address = self._addresses.get(guard.record.server)
+        if reason is Reason.UNREACHABLE or address is None:
+            self._doubt(guard, reason)
+        elif guard.was_alive(self._forwarder.now):
+            self._forwarder.pool.open_spare(
+                address, partial(self._take_check, guard, reason)
+            )
+        else:
+            self._doubt(guard, reason)
 
     def doubt_all(self) -> None:
         """Treat every server as cold until it announces itself again."""
@@ -161,6 +173,16 @@
         """Return how many calls wait for a slot."""
         return sum(len(guard.waiting) for guard in self._guards.values())
 
+    def _take_check(self, guard: GuardState, reason: Reason, opened: bool) -> None:
+        if not opened:
+            self._doubt(guard, reason)
+
+    def _doubt(self, guard: GuardState, reason: Reason) -> None:
+        """Treat a server as cold until it announces itself again."""
+        guard.confirmed = False
+        message = ServerDoubted(guard.record.server, reason.value)
+        self._forwarder.kernel.post("membership", message)
+
     def _find_closed_reason(self, guard: GuardState) -> Reason | None:
         forwarder = self._forwarder
         if forwarder.place.zone in forwarder.evacuated:
--- a/monsoontray/forwarding/refusals.py
+++ b/monsoontray/forwarding/refusals.py
@@ -37,6 +37,7 @@
     Reason.NO_ROUTE: HTTPStatus.NOT_FOUND,
     Reason.DEADLINE_PASSED: HTTPStatus.GATEWAY_TIMEOUT,
     Reason.CONNECTION_LOST: HTTPStatus.BAD_GATEWAY,
+    Reason.NO_ANSWER: HTTPStatus.GATEWAY_TIMEOUT,
     Reason.BAD_RESPONSE: HTTPStatus.BAD_GATEWAY,
 }
 #: Statuses by which callers tell that a request has not run.
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
@@ -33,6 +34,7 @@
         "_connect_timer",
         "_foreign",
         "_keep_alive",
+        "_on_opened",
         "_parser",
         "_until_close",
         "address",
@@ -44,10 +46,15 @@
     )
 
     def __init__(
-        self, sock: socket.socket, forwarder: Forwarder, address: Address
+        self,
+        sock: socket.socket,
+        forwarder: Forwarder,
+        address: Address,
+        on_opened: Callable[[bool], object] | None = None,
     ) -> None:
         super().__init__(sock, forwarder, READABLE | WRITABLE)
         self.address = address
+        self._on_opened = on_opened  # told whether a spare connection was opened
         self.call: Call | None = None
         self.connected = False
         self.idle_deadline = 0.0
@@ -157,8 +164,16 @@
         self._cancel_connect_timer()
         if self.call is not None:
             self.call.on_upstream_connected()
+        else:
+            self.forwarder.pool.keep(self)
+            self._tell_opened(True)
         return True
 
+    def _tell_opened(self, is_open: bool) -> None:
+        tell, self._on_opened = self._on_opened, None
+        if tell is not None:
+            tell(is_open)
+
     def _give_up_connecting(self) -> None:
         self._connect_timer = None
         self._lose(Reason.UNREACHABLE)
@@ -174,6 +189,7 @@
         self.close()
         if call is not None:
             call.on_upstream_lost(reason)
+        self._tell_opened(False)
 
 
 class UpstreamPool:
@@ -201,6 +217,13 @@
             connection.close()
         return self._open(address)
 
+    def open_spare(self, address: Address, tell: Callable[[bool], object]) -> None:
+        """Open a connection for a later call; tell whether that worked."""
+        try:
+            self._open(address, tell)
+        except OSError:
+            tell(False)
+
     def keep(self, connection: UpstreamConnection) -> None:
         """Keep an idle connection for the next call."""
         idle_s = self._idle_s
@@ -243,7 +266,9 @@
             self._sweep_set = True
             self._forwarder.timers.add(earliest, self._sweep)
 
-    def _open(self, address: Address) -> UpstreamConnection:
+    def _open(
+        self, address: Address, tell: Callable[[bool], object] | None = None
+    ) -> UpstreamConnection:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         prepare_socket(sock)
         try:
@@ -253,7 +278,7 @@
         except OSError:
             sock.close()
             raise
-        return UpstreamConnection(sock, self._forwarder, address)
+        return UpstreamConnection(sock, self._forwarder, address, tell)
 
 
 @singledispatch
--- a/tests/test_decisions/test_guard.py
+++ b/tests/test_decisions/test_guard.py
@@ -6,7 +6,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from monsoontray.decisions.guard import ColdLimits, Granted, GuardState, Queued
+from monsoontray.decisions.guard import (
+    ALIVE_S,
+    COLD_WINDOW_S,
+    ColdLimits,
+    Granted,
+    GuardState,
+    Queued,
+)
 from monsoontray.decisions.outcomes import Ran, Reason, refuse_unrun
 from monsoontray.decisions.servers import ServerRecord, ServerState
 
@@ -156,3 +163,22 @@
     guard.note_service(0.1)
     assert guard.report_load(0.0).slots == 2
     assert guard.report_load(6.0).slots == 9
+
+
+def test_a_server_that_answered_a_short_time_ago_has_not_started_anew():
+    guard = GuardState(RECORD, 0)
+    assert not guard.was_alive(10.0)
+    guard.heard_at = 9.8
+    assert guard.was_alive(10.0)
+    assert not guard.was_alive(10.0 + ALIVE_S)
+
+
+def test_a_cold_refusal_says_when_there_is_room_again():
+    cold = replace(RECORD, slots=9, cold_until=100.0, cold_per_s=2.0)
+    guard = GuardState(cold, 9, ColdLimits(1.0, 1.0))
+    assert guard.request_slot("a", 9.0, 0, now=1.0) == Granted()
+    assert guard.request_slot("b", 9.0, 0, now=1.5) == Granted()
+    refused = guard.request_slot("c", 9.0, 0, now=1.6)
+    assert refused.reason is Reason.SERVER_COLD
+    assert refused.retry_after_s == pytest.approx(1.0 + COLD_WINDOW_S - 1.6)
+    assert guard.request_slot("d", 9.0, 0, now=1.0 + COLD_WINDOW_S) == Granted()
--- a/tests/test_decisions/test_servers.py
+++ b/tests/test_decisions/test_servers.py
@@ -4,8 +4,8 @@
 from random import Random
 
 from monsoontray.decisions.servers import (
-    PENALTY_S,
     Endpoint,
+    LoadReport,
     LoadView,
     Place,
     ServerTable,
@@ -65,17 +65,54 @@
     assert choose([NEAR, OTHER_ZONE], loads) is NEAR
 
 
+def test_a_server_that_nobody_knows_is_explored_by_idempotent_calls():
+    loads = LoadView()
+    slow = LoadReport(calls=0, slots=9, service_s=0.2)
+    fast = LoadReport(calls=0, slots=9, service_s=0.02)
+    new = build_endpoint("new", "zone-a")
+    random = Random(7)
+    counts = Counter()
+    for i in range(1000):
+        now = i / 100
+        loads.hear("near", fast, now)
+        chosen = choose_server(
+            [NEAR, new, OTHER_ZONE], "", PLACE, (), loads, now, random, may_explore=True
+        )
+        counts[chosen.server] += 1
+        if chosen is new:
+            loads.hear("new", slow, now)
+    # Once in two seconds, as soon as one call in twenty allows it.
+    assert 3 <= counts["new"] <= 5
+    assert counts["other"] == 0
+    for i in range(200):
+        assert choose([NEAR, new], loads, now=30.0, seed=i) is NEAR
+
+
 def test_a_server_is_not_tried_twice():
     assert choose([NEAR, OTHER_ZONE], tried=("near",)) is OTHER_ZONE
     assert choose([NEAR], tried=("near",)) is None
 
 
-def test_an_unreachable_server_is_avoided_for_a_while():
+def test_an_unreachable_server_is_avoided_until_it_is_heard_of():
     loads = LoadView()
-    loads.avoid("near", 0.0)
-    assert choose([NEAR, OTHER_ZONE], loads) is OTHER_ZONE
-    assert choose([NEAR], loads) is NEAR
-    assert choose([NEAR, OTHER_ZONE], loads, now=PENALTY_S) is NEAR
+    loads.mark_unreachable("near")
+    for now in (0.0, 0.5, 60.0):
+        assert choose([NEAR, OTHER_ZONE], loads, now=now) is OTHER_ZONE
+        assert choose([NEAR], loads, now=now) is NEAR
+    loads.mark_reachable("near", 60.0)
+    assert choose([NEAR, OTHER_ZONE], loads, now=60.0) is NEAR
+    loads.mark_unreachable("near")
+    loads.hear("near", None, 61.0)
+    assert choose([NEAR, OTHER_ZONE], loads, now=61.0) is NEAR
+
+
+def test_a_full_server_is_avoided_as_long_as_its_guard_said():
+    loads = LoadView()
+    loads.mark_full("near", 0.5)
+    loads.hear("near", None, 0.1)
+    assert choose([NEAR, OTHER_ZONE], loads, now=0.4) is OTHER_ZONE
+    assert choose([NEAR], loads, now=0.4) is NEAR
+    assert choose([NEAR, OTHER_ZONE], loads, now=0.5) is NEAR
 
 
 def test_only_servers_with_the_resource_are_chosen():
--- a/tests/test_platform/test_mesh.py
+++ b/tests/test_platform/test_mesh.py
@@ -145,6 +145,49 @@
     assert count_runs(mesh, "o9") == 0
 
 
+def test_a_request_that_a_server_does_not_answer_is_given_to_another(mesh):
+    start(mesh)
+    for i in range(20):
+        assert call(mesh.nodes[0], f"/read/{i}", f"w{i}").status == 200
+    mesh.control(mesh.nodes[0], silent=True)
+    for i in range(3):
+        response = call(mesh.nodes[0], f"/read/{i}", f"s{i}", X_Deadline_Ms="2000")
+        assert response.status == 200
+        assert response.find(b"x-response-seal") == b"seal-of-i-1"
+    order = call(mesh.nodes[0], "/order/1", "s9", "POST", X_Deadline_Ms="600")
+    assert order.status in (200, 504)
+    assert count_runs(mesh, "s9") == 1
+
+
+def test_a_server_that_breaks_answers_off_is_not_taken_for_a_cold_one(mesh):
+    start(mesh, 1)
+    node = mesh.nodes[0]
+    assert call(node, "/order/0", "b0", "POST").status == 200
+    mesh.control(node, lose=True, silence=True)
+    assert call(node, "/order/1", "b1", "POST").status == 502
+    mesh.control(node, silence=True)
+    # A cold server would get 31 calls in these bounds.
+    statuses = [call(node, "/order/2", f"b2{i}", "POST").status for i in range(60)]
+    assert statuses == [200] * 60
+
+
+def test_a_node_that_stands_still_is_avoided_until_it_answers(mesh):
+    start(mesh, 3)
+    for i in range(6):
+        assert call(mesh.nodes[0], f"/read/{i}", f"a{i}").status == 200
+    frozen = mesh.nodes[1].handle.process
+    backend = mesh.nodes[1].backend.process
+    frozen.send_signal(signal.SIGSTOP)
+    backend.send_signal(signal.SIGSTOP)
+    try:
+        for i in range(30):
+            response = call(mesh.nodes[0], f"/read/{i}", f"z{i}", X_Deadline_Ms="2000")
+            assert response.status == 200
+    finally:
+        frozen.send_signal(signal.SIGCONT)
+        backend.send_signal(signal.SIGCONT)
+
+
 def test_configurations_only_go_forward(mesh):
     start(mesh)
     moved = build_route("/new/", "one")
@@ -232,6 +275,24 @@
     router.close()
 
 
+def test_a_server_is_used_while_its_stopping_node_still_takes_calls(mesh):
+    mesh.order("op/config", build_configuration(1, READ, ORDER))
+    for i in range(2):
+        node = mesh.add_node(f"node-{i}", f"zone-{i}", "one", stop_notice_ms=2_500)
+        mesh.start_server(node, f"i-{i}")
+    mesh.wait_for_servers(2)
+    first, second = mesh.nodes
+    for node in mesh.nodes:
+        mesh.fleet.wait_for(lambda node=node: mesh.is_ready(node), "readiness")
+    mesh.control(first, shed=True)
+    second.handle.process.send_signal(signal.SIGTERM)
+    mesh.fleet.wait_for(lambda: not mesh.is_ready(second), "no longer ready")
+    for i in range(40):
+        assert call(first, f"/order/{i}", f"u{i}", "POST").status == 200
+    mesh.fleet.wait_for(lambda: mesh.count_servers(first) == 1, "word of the stop")
+    second.handle.process.wait(timeout=10)
+
+
 def test_changed_settings_are_taken_over_whole_or_not_at_all(mesh):
     start(mesh, 1)
     node = mesh.nodes[0].handle
