Offer orders by their head alone; answer on time what a guard can

Guards answered in order, so that once a queue was as long as the objective every answer was late. After a restart a node waited 0.3 s for CherryPy's engine before it took calls, and held a cold server to 28 calls a second where 36 are allowed. They now need a reported free slot, and none is given up once a stop is planned. Change: requests that must not run twice are offered by their head, and the body follows when the guard asks; calls that can be answered by their objective go first, others are refused when they would take more than 0.6 of their time; refusals of calls that have not run say 503; HTTP servers are bound at once; changes are collected for 0.4 s; the request's way is apart in sending, receiving and replacing. Tests: elsewhere_from and waited_for in test_mesh, late in test_guard, certainly_not_run in test_responses fail before. The announcing thread of test_malformed is joined: it outlived its fleet once, since nodes end sooner.

--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -13,10 +13,14 @@
 from monsoontray.decisions.rollouts import Suspicion
 from monsoontray.decisions.servers import LoadReport, ServerRecord, ServerState
 
-COLD_WINDOW_S = 1.1  # a cold server's bound holds for each second; some to spare
-COLD_SHARE = 0.85  # of the bound: calls of a former process of the node may be on it
+COLD_WINDOW_S = 1.05  # a cold server's bound holds for each second; some to spare
+COLD_SHARE = 0.95  # of the bound: calls may take unequal times to arrive
+#: Share of the bound in a guard's first window, into which calls of a former process
+#: of the node may reach.
+FIRST_COLD_SHARE = 0.8
 SERVICE_WEIGHT = 0.1  # of the latest call in the mean service time
 SERVICE_SHARE = 0.7  # of the mean service time that a call needs at least
+LATE_SHARE = 0.6  # of the time left that a call which would be late may still take
 RECHECK_S = 0.1  # time after which waiting calls are looked at again
 #: A server that was heard of later than this has not started anew since: the
 #: shortest time without a server in the deployments is a second.
@@ -41,14 +45,25 @@
     """Say that a call waits for a slot."""
 
 
+@dataclass(slots=True, frozen=True)
+class SlotRequest:
+    """Describe a call that asks for a slot."""
+
+    deadline: float
+    priority: int  # 0 goes first
+    objective: float = math.inf  # when its answer still has its full worth
+    route: str = ""
+
+
 class Waiting:
     """Hold a call that waits for a slot."""
 
-    __slots__ = ("call", "deadline", "gone")
+    __slots__ = ("call", "deadline", "gone", "rank")
 
-    def __init__(self, call: Any, deadline: float) -> None:
+    def __init__(self, call: Any, deadline: float, rank: tuple[bool, int]) -> None:
         self.call = call
         self.deadline = deadline
+        self.rank = rank  # late ones last, then by priority
         self.gone = False
 
 
@@ -57,6 +72,7 @@
 
     __slots__ = (
         "_cold",
+        "_first_start",
         "_order",
         "_queue",
         "_starts",
@@ -87,7 +103,8 @@
         self.suspicion = Suspicion()
         self._cold = cold or ColdLimits()
         self._starts: deque[float] = deque()
-        self._queue: list[tuple[int, float, int, Waiting]] = []
+        self._first_start: float | None = None  # when a cold server was first asked for
+        self._queue: list[tuple[tuple[bool, int], float, int, Waiting]] = []
         self._order = count()
 
     def get_capacity(self) -> int:
@@ -112,9 +129,13 @@
         return LoadReport(self.in_use + len(self.waiting), slots, self.service_s)
 
     def request_slot(
-        self, call: Any, deadline: float, priority: int, now: float = 0.0
+        self, call: Any, wanted: SlotRequest, now: float = 0.0
     ) -> Granted | Queued | Refusal:
-        """Decide whether a call runs now, waits or is refused."""
+        """Decide whether a call runs now, waits or is refused.
+
+        A call that can't be answered by its objective waits behind all that can, and
+        not if it would take long: a server that is behind would else answer all late.
+        """
         if self.record.state is ServerState.LEAVING:
             return refuse_unrun(Reason.SERVER_LEAVING)
         if self.closed is not None:
@@ -124,13 +145,20 @@
         if self.in_use < self.get_capacity():
             self._start(now)
             return Granted()
-        wait_s = self._estimate_wait(priority)
-        needed_s = wait_s + SERVICE_SHARE * self.service_s
-        if len(self.waiting) >= self.queue_limit or now + needed_s > deadline:
+        run_s = self.suspicion.means.get(wanted.route, self.service_s)
+        rank = (False, wanted.priority)
+        wait_s = self._estimate_wait(rank)
+        left_s = wanted.deadline - now
+        if now + wait_s + run_s > wanted.objective:
+            rank = (True, wanted.priority)
+            wait_s = self._estimate_wait(rank)
+            left_s *= LATE_SHARE
+        needed_s = wait_s + SERVICE_SHARE * run_s
+        if len(self.waiting) >= self.queue_limit or needed_s > left_s:
             return Refusal(Reason.NO_SLOT, Ran.NOT_RUN, wait_s)
-        waiting = Waiting(call, deadline)
+        waiting = Waiting(call, wanted.deadline, rank)
         self.waiting[call] = waiting
-        heappush(self._queue, (priority, deadline, next(self._order), waiting))
+        heappush(self._queue, (rank, wanted.deadline, next(self._order), waiting))
         return Queued()
 
     def release_slot(self, now: float) -> Any | None:
@@ -180,7 +208,10 @@
             return True
         self._drop_old_starts(now)
         bound = self.record.cold_per_s * self._cold.factor + self._cold.slack
-        limit = bound * COLD_SHARE
+        if self._first_start is None:
+            self._first_start = now
+        is_first = now - self._first_start < COLD_WINDOW_S
+        limit = bound * (FIRST_COLD_SHARE if is_first else COLD_SHARE)
         return len(self._starts) + 1 <= limit
 
     def _find_cold_wait(self, now: float) -> float:
@@ -188,16 +219,12 @@
         return self._starts[0] + COLD_WINDOW_S - now if self._starts else COLD_WINDOW_S
 
     def _drop_old_starts(self, now: float) -> None:
-        while self._starts and self._starts[0] <= now - COLD_WINDOW_S:
+        while self._starts and self._starts[0] + COLD_WINDOW_S <= now:
             self._starts.popleft()
 
-    def _estimate_wait(self, priority: int) -> float:
+    def _estimate_wait(self, rank: tuple[bool, int]) -> float:
         """Return how long a call would wait behind those that go before it."""
-        before = sum(
-            1
-            for rank, _, _, waiting in self._queue
-            if rank <= priority and not waiting.gone
-        )
+        before = sum(1 for waiting in self.waiting.values() if waiting.rank <= rank)
         return self.service_s * (before + 1) / max(1, self.get_capacity())
 
     def _take_waiting(self, now: float) -> Any | None:
--- a/monsoontray/decisions/servers.py
+++ b/monsoontray/decisions/servers.py
@@ -177,6 +177,14 @@
         load = self._loads.get(server)
         return load is not None and (load.unreachable or load.full_until > now)
 
+    def has_room(self, server: str) -> bool:
+        """Say whether a server had a free slot, as far as its guard has reported."""
+        load = self._loads.get(server)
+        if load is None or load.report is None:
+            return True
+        since = max(0, load.calls - load.calls_at_report)
+        return load.report.calls + since < load.report.slots
+
     def get_heard_at(self, server: str) -> float:
         """Return when a server's guard answered last."""
         load = self._loads.get(server)
--- a/monsoontray/discovery/watch.py
+++ b/monsoontray/discovery/watch.py
@@ -32,7 +32,7 @@
 LAST_RETRY_S = 0.8
 LOST_WAIT_S = 0.2  # longest wait of a watch while the store is lost
 #: Pause between watches, in which changes that come together are collected.
-COLLECT_S = 0.25
+COLLECT_S = 0.4
 
 
 class StoreWatch(Task):
--- a/monsoontray/forwarding/attempts.py
+++ b/monsoontray/forwarding/attempts.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
-from monsoontray.decisions.guard import Granted, Queued
+from monsoontray.decisions.guard import Granted, Queued, SlotRequest
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_unrun
 from monsoontray.decisions.servers import (
     UNKNOWN_BODY_BYTES,
@@ -16,6 +17,7 @@
 from monsoontray.forwarding.routes import (
     CUSTOMER_HEADER,
     IDEMPOTENT_HEADER,
+    OBJECTIVE_HEADER,
     PRIORITY_HEADER,
     ROUTE_HEADER,
     SERVER_HEADER,
@@ -29,7 +31,7 @@
     from monsoontray.decisions.guard import GuardState
     from monsoontray.forwarding.call import Call
 
-NO_SERVER_RETRY_S = 0.1  # time after which a server may have been announced
+NO_SERVER_RETRY_S = 0.3  # servers announce themselves every second or two
 
 
 @singledispatch
@@ -82,7 +84,7 @@
     if endpoint.node == forwarder.place.node:
         start_local(call, endpoint.server)
     else:
-        call.send_to(_build_guard_hop(endpoint, route))
+        call.send_to(_build_guard_hop(endpoint, route, call.now))
 
 
 def start_local(call: Call, server: str) -> None:
@@ -92,7 +94,8 @@
         call.fail_attempt(refuse_unrun(Reason.NO_SERVER))
         return
     route = call.route
-    outcome = guard.request_slot(call, route.deadline, route.priority, call.now)
+    wanted = SlotRequest(route.deadline, route.priority, route.objective, route.name)
+    outcome = guard.request_slot(call, wanted, call.now)
     follow_slot(outcome, call, guard)
 
 
@@ -138,7 +141,7 @@
     return UNKNOWN_BODY_BYTES if head.framing is Framing.CHUNKED else head.length
 
 
-def _build_guard_hop(endpoint: Endpoint, route: EntryRoute) -> Hop:
+def _build_guard_hop(endpoint: Endpoint, route: EntryRoute, now: float) -> Hop:
     lines = [
         encode_line(SERVER_HEADER, endpoint.server.encode("latin-1")),
         encode_line(CUSTOMER_HEADER, route.customer.encode("latin-1")),
@@ -146,6 +149,9 @@
     ]
     if route.name:
         lines.append(encode_line(ROUTE_HEADER, route.name.encode("latin-1")))
+    if route.objective < math.inf:
+        left_ms = max(0, int((route.objective - now) * 1000))
+        lines.append(encode_line(OBJECTIVE_HEADER, b"%d" % left_ms))
     if route.idempotent:
         lines.append(encode_line(IDEMPOTENT_HEADER, b"1"))
     return Hop(parse_address(endpoint.guard_address), True, tuple(lines))
--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -82,7 +82,7 @@
         if self._exchanges:
             call = self._exchanges[0].call
             if call is not None:
-                call.on_caller_sent(self.out_bytes)
+                call.request.resume_response(self.out_bytes)
 
     def close(self) -> None:
         """Close the socket and forget its timer."""
@@ -103,7 +103,7 @@
         """Pass on a part of the request's body."""
         exchange = self._find_open()
         if exchange is not None and exchange.call is not None:
-            exchange.call.on_request_body(part)
+            exchange.call.request.take_body(part)
 
     def end_request(self) -> None:
         """Pass on the end of the request."""
@@ -111,7 +111,7 @@
         if exchange is not None:
             exchange.request_open = False
             if exchange.call is not None:
-                exchange.call.on_request_end()
+                exchange.call.request.take_end()
             elif exchange.done:
                 self.advance()
 
--- a/monsoontray/forwarding/exchange.py
+++ b/monsoontray/forwarding/exchange.py
@@ -53,7 +53,10 @@
         self._parts: list[bytes] = []  # written before its turn
         self._size = 0
         self._rest_is_short = head is not None and (
-            head.framing is not Framing.CHUNKED and head.length <= SHORT_BODY_BYTES
+            head.framing is not Framing.CHUNKED
+            and head.length <= SHORT_BODY_BYTES
+            # A caller that was not asked for the body may never send it.
+            and not head.expects_continue
         )
 
     def count_unsent(self) -> int:
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -60,7 +60,7 @@
 THREAD_SWITCH_S = 0.0005  # longest turn of a thread that keeps the interpreter
 COLLECT_AFTER = 50_000  # new objects between two garbage collections
 #: Time that nodes get to hear that this one leaves, before it closes its doors.
-LEAVE_NOTICE_S = 0.5
+LEAVE_NOTICE_S = 0.7
 IDLE_CLOSE_S = 0.5  # time that idle callers keep their connection at a stop
 MAX_CALL_ID_LENGTH = 128
 HEARD_S = 3.0  # time that a node which is not listed is used since it answered
--- a/monsoontray/forwarding/heads.py
+++ b/monsoontray/forwarding/heads.py
@@ -63,9 +63,17 @@
     """Mark the end of a message."""
 
 
+@dataclass(slots=True, frozen=True)
+class BodyWanted:
+    """Mark that the next stop asks for the body of a request."""
+
+
 END_OF_MESSAGE = EndOfMessage()
+BODY_WANTED = BodyWanted()
+CONTINUE_STATUS = 100
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+EXPECT_LINE = b"expect: 100-continue\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 CLOSE_LINE = b"connection: close\r\n"
 OWN_PREFIX = b"monsoontray-"
--- a/monsoontray/forwarding/parsing.py
+++ b/monsoontray/forwarding/parsing.py
@@ -17,8 +17,11 @@
     find_response_framing,
 )
 from monsoontray.forwarding.heads import (
+    BODY_WANTED,
+    CONTINUE_STATUS,
     END_OF_MESSAGE,
     OWN_NAMES_ONLY,
+    BodyWanted,
     EndOfMessage,
     Framing,
     HeaderNames,
@@ -47,7 +50,7 @@
 
 
 RequestEvent = RequestHead | bytes | EndOfMessage | Malformed
-ResponseEvent = ResponseHead | bytes | EndOfMessage | Malformed
+ResponseEvent = ResponseHead | bytes | EndOfMessage | BodyWanted | Malformed
 
 
 class RequestParser(HeaderCollector):
@@ -194,6 +197,8 @@
         status = self._parser.get_status_code()
         self._informational = status < 200
         if self._informational:
+            if status == CONTINUE_STATUS:
+                self._events.append(BODY_WANTED)
             return
         _check_limits(self, self._limits, self._unread + self._fed)
         framing, length = find_response_framing(self, status, self._method)
--- a/monsoontray/forwarding/refusals.py
+++ b/monsoontray/forwarding/refusals.py
@@ -49,6 +49,7 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     )
 )
+_GATEWAY_STATUSES = frozenset((HTTPStatus.BAD_GATEWAY, HTTPStatus.GATEWAY_TIMEOUT))
 _REASONS = {reason.value.encode(): reason for reason in Reason}
 _RAN = {ran.value.encode(): ran for ran in Ran}
 _MS_PER_S = 1000
@@ -97,10 +98,12 @@
 
 
 def _find_true_status(refusal: Refusal) -> HTTPStatus:
-    """Return the status of a refusal; one that promises "not run" only if true."""
+    """Return the status of a refusal; it promises "not run" if and only if true."""
     status = _STATUSES.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
     if refusal.ran is Ran.UNKNOWN and status in _NOT_RUN_STATUSES:
         return HTTPStatus.BAD_GATEWAY
+    if refusal.ran is not Ran.UNKNOWN and status in _GATEWAY_STATUSES:
+        return HTTPStatus.SERVICE_UNAVAILABLE
     return status
 
 
--- /dev/null
+++ b/monsoontray/forwarding/replacing.py
@@ -0,0 +1,82 @@
+"""Give up an attempt that is stuck or has failed, where another can take its place."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from monsoontray.decisions.outcomes import Ran, Reason
+from monsoontray.decisions.retries import MAX_OFFERS, Retry
+from monsoontray.forwarding.attempts import choose_next, start_at
+from monsoontray.forwarding.routes import EntryRoute
+
+if TYPE_CHECKING:
+    from monsoontray.forwarding.call import Call
+    from monsoontray.forwarding.routes import Hop
+
+
+def lose_patience(call: Call) -> None:
+    """Act on a server or a guard that has not answered for long."""
+    if call.guard_refusal is not None:
+        return
+    hop = call.request.hop
+    if call.request.upstream is not None and hop is not None and hop.is_guard:
+        suspect_guard(call, hop, Reason.NO_ANSWER)
+    # Once a stop is planned, every answer that may still come is waited for.
+    if not call.forwarder.stopping:
+        try_replace(call, Reason.NO_ANSWER, call.expected_s)
+
+
+def suspect_guard(call: Call, hop: Hop, reason: Reason) -> None:
+    """Find out whether the guard of an attempt can still be reached."""
+    reachability = call.forwarder.reachability
+    if reason is Reason.UNREACHABLE:
+        reachability.lose(call.server, hop.address)
+    elif reason is not Reason.BAD_RESPONSE:
+        reachability.check(call.server, hop.address)
+
+
+def try_replace(call: Call, reason: Reason, needed_s: float) -> bool:
+    """Start another attempt in place of the current one; say if it began.
+
+    ``needed_s`` is the time that it should take.
+    """
+    route, attempts, now = call.route, call.attempts, call.now
+    refusal = call.qualify(reason)
+    has_run = refusal.ran is not Ran.NOT_RUN
+    if not isinstance(route, EntryRoute) or not call.request.is_repeatable:
+        return False
+    if has_run and not route.idempotent:
+        return False
+    sends = attempts.sends + (1 if has_run else 0)
+    if sends >= route.max_attempts or attempts.offers >= MAX_OFFERS:
+        return False
+    if now + needed_s >= route.deadline:
+        return False
+    endpoint = choose_next(route, call)
+    if endpoint is None or not _may_take_over(call, endpoint.server):
+        return False
+    if has_run and not call.try_budget():
+        return False
+    if call.held is None:
+        call.note_unfinished()
+        call.forwarder.loads.note_outcome(call.server, True)
+    else:
+        call.note_outcome(True)
+    call.request.drop()
+    call.leave_attempt(refusal)
+    call.forwarder.report.retry(call, Retry(reason))
+    attempts.offers += 1
+    start_at(endpoint, route, call)
+    return True
+
+
+def _may_take_over(call: Call, server: str) -> bool:
+    """Say whether a server is likely to take a call that is given up elsewhere.
+
+    An attempt that may still be answered is left for a free slot only: when all
+    servers are behind, the call would lose its place and be refused.
+    """
+    loads = call.forwarder.loads
+    if loads.is_avoided(server, call.now):
+        return False
+    return call.held is not None or loads.has_room(server)
--- a/monsoontray/forwarding/routes.py
+++ b/monsoontray/forwarding/routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from monsoontray.settings.settings import Address
@@ -11,6 +12,7 @@
 PRIORITY_HEADER = b"monsoontray-priority"
 IDEMPOTENT_HEADER = b"monsoontray-idempotent"
 TIMEOUT_HEADER = b"monsoontray-timeout-ms"
+OBJECTIVE_HEADER = b"monsoontray-objective-ms"
 ROUTE_HEADER = b"monsoontray-route"
 LOAD_HEADER = b"monsoontray-load"
 LEAST_PRIORITY = 9
@@ -28,6 +30,7 @@
     idempotent: bool
     max_attempts: int
     deadline: float
+    objective: float = math.inf  # when the answer still has its full worth
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,6 +43,7 @@
     idempotent: bool
     deadline: float
     name: str  # of the route or plan
+    objective: float = math.inf
 
     @property
     def max_attempts(self) -> int:
--- a/monsoontray/forwarding/sending.py
+++ b/monsoontray/forwarding/sending.py
@@ -14,10 +14,12 @@
     encode_request,
 )
 from monsoontray.forwarding.replay import KeptBody
-from monsoontray.forwarding.routes import TIMEOUT_HEADER, Hop
+from monsoontray.forwarding.routes import TIMEOUT_HEADER, EntryRoute, GuardRoute, Hop
 
 if TYPE_CHECKING:
     from monsoontray.forwarding.call import Call
+    from monsoontray.forwarding.exchange import Exchange
+    from monsoontray.forwarding.forwarder import Forwarder
     from monsoontray.forwarding.upstream import UpstreamConnection
 
 
@@ -31,24 +33,35 @@
 
     __slots__ = (
         "_body",
-        "_call",
+        "_exchange",
+        "_forwarder",
         "_head",
         "_holds_head",
         "_id_line",
         "_offers",
+        "_route",
         "ended",
         "hop",
         "is_out",
         "upstream",
     )
 
-    def __init__(self, call: Call, head: RequestHead, id_line: bytes) -> None:
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        exchange: Exchange,
+        head: RequestHead,
+        route: EntryRoute | GuardRoute,
+        id_line: bytes,
+    ) -> None:
         self.hop: Hop | None = None  # of the current attempt
         self.upstream: UpstreamConnection | None = None
         self.ended = False  # the whole request was received
         self.is_out = False  # a back end may have what it needs to run the call
-        self._call = call
+        self._forwarder = forwarder
+        self._exchange = exchange
         self._head = head
+        self._route = route
         self._id_line = id_line
         self._body = KeptBody()
         self._offers = False  # the guard was not heard to ask for the body
@@ -64,15 +77,15 @@
         """Say whether the whole request was sent."""
         return self.ended and not self._offers and not self._holds_head
 
-    def start(self, hop: Hop) -> None:
-        """Send the request to the next stop; raise OSError."""
+    def start(self, call: Call, hop: Hop) -> None:
+        """Send the request of a call to the next stop; raise OSError."""
         self.hop = hop
         self.is_out = False
         self._offers = False
         self._holds_head = False
-        upstream = self._call.forwarder.pool.take(hop.address)
+        upstream = self._forwarder.pool.take(hop.address)
         self.upstream = upstream
-        upstream.begin_call(self._call, self._head.method)
+        upstream.begin_call(call, self._head.method)
         if upstream.connected:
             self.connect()
 
@@ -82,38 +95,38 @@
         assert hop is not None
         has_body = head.framing is not Framing.EMPTY and head.length != 0
         if head.expects_continue and not self.ended and not self._body.size:
-            self._call.exchange.ask_to_continue()
+            self._exchange.ask_to_continue()
             # A back end gets the head once the caller is known to be there still.
             self._holds_head = not hop.is_guard
         if self._holds_head:
-            self._call.exchange.resume_reading()
+            self._exchange.resume_reading()
             return
-        self._offers = hop.is_guard and has_body and not self._call.route.idempotent
+        self._offers = hop.is_guard and has_body and not self._route.idempotent
         self._write_head(hop)
         if not self._offers:
             self._write_all()
-        self._call.exchange.resume_reading()
+        self._exchange.resume_reading()
 
     def follow(self) -> None:
         """Send the body that the guard asks for."""
         if self._offers:
             self._offers = False
             self._write_all()
-            self._call.exchange.resume_reading()
+            self._exchange.resume_reading()
 
     def take_body(self, part: bytes) -> None:
         """Take a part of the request's body."""
-        limit = self._call.forwarder.limits.replay_bytes
+        limit = self._forwarder.limits.replay_bytes
         self._release_head()
         upstream = self._find_open()
         self._body.add(part, upstream is not None, limit)
         if upstream is None:
             if self._body.size >= limit:
-                self._call.exchange.pause_reading()
+                self._exchange.pause_reading()
             return
         self._write_body(part)
-        if upstream.out_bytes > self._call.forwarder.limits.stream_bytes:
-            self._call.exchange.pause_reading()
+        if upstream.out_bytes > self._forwarder.limits.stream_bytes:
+            self._exchange.pause_reading()
 
     def take_end(self) -> None:
         """Take the end of the request."""
@@ -125,13 +138,13 @@
 
     def note_sent(self, left: int) -> None:
         """Read on once the next stop has taken enough of the request."""
-        limit = self._call.forwarder.limits.stream_bytes // 2
+        limit = self._forwarder.limits.stream_bytes // 2
         if left <= limit and not self.ended and not self._offers:
-            self._call.exchange.resume_reading()
+            self._exchange.resume_reading()
 
     def resume_response(self, left: int) -> None:
         """Read on from the next stop once the caller has taken enough."""
-        limit = self._call.forwarder.limits.stream_bytes // 2
+        limit = self._forwarder.limits.stream_bytes // 2
         if self.upstream is not None and left <= limit:
             self.upstream.resume_reading()
 
@@ -158,11 +171,11 @@
             self._write_all()
 
     def _write_head(self, hop: Hop) -> None:
-        call, head = self._call, self._head
+        forwarder, head = self._forwarder, self._head
         assert self.upstream is not None
         self.is_out = not self._offers
-        remaining_ms = max(1, int((call.route.deadline - call.now) * 1000))
-        vocabulary = call.forwarder.vocabulary
+        remaining_ms = max(1, int((self._route.deadline - forwarder.now) * 1000))
+        vocabulary = forwarder.vocabulary
         timeout = TIMEOUT_HEADER if hop.is_guard else vocabulary.timeout_ms
         lines = [
             *head.lines,
--- a/monsoontray/forwarding/sides.py
+++ b/monsoontray/forwarding/sides.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
@@ -20,6 +21,7 @@
     CUSTOMER_HEADER,
     IDEMPOTENT_HEADER,
     LEAST_PRIORITY,
+    OBJECTIVE_HEADER,
     PRIORITY_HEADER,
     ROUTE_HEADER,
     SERVER_HEADER,
@@ -126,6 +128,7 @@
         idempotent=route.idempotent,
         max_attempts=route.max_attempts,
         deadline=forwarder.now + min(timeout_s, route.timeout_s),
+        objective=forwarder.now + route.objective_s,
     )
 
 
@@ -142,8 +145,15 @@
     timeout_s = _read_timeout(head, TIMEOUT_HEADER, forwarder.limits.call_s)
     idempotent = head.own.get(IDEMPOTENT_HEADER) == b"1"
     name = head.own.get(ROUTE_HEADER, b"").decode("latin-1")
-    deadline = forwarder.now + timeout_s
-    return GuardRoute(server, customer, rank, idempotent, deadline, name)
+    return GuardRoute(
+        server,
+        customer,
+        rank,
+        idempotent,
+        forwarder.now + timeout_s,
+        name,
+        forwarder.now + _read_timeout(head, OBJECTIVE_HEADER, math.inf),
+    )
 
 
 def _find_token(head: RequestHead) -> bytes:
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -11,11 +11,13 @@
 from monsoontray.forwarding.connection import Connection, prepare_socket
 from monsoontray.forwarding.heads import (
     END_OF_MESSAGE,
+    BodyWanted,
     EndOfMessage,
     Framing,
     ResponseHead,
 )
 from monsoontray.forwarding.parsing import Malformed, ResponseParser
+from monsoontray.forwarding.receiving import take_body, take_end, take_head
 from monsoontray.kernel.sockets import BROKEN, READABLE, WRITABLE
 
 if TYPE_CHECKING:
@@ -108,7 +110,7 @@
     def on_sent(self) -> None:
         """Let the request flow again once the server has taken enough."""
         if self.call is not None:
-            self.call.on_upstream_sent(self.out_bytes)
+            self.call.request.note_sent(self.out_bytes)
 
     def close(self) -> None:
         """Close the socket and forget its timer."""
@@ -126,12 +128,12 @@
         call = self.call
         assert call is not None
         self.call = None
-        if self._keep_alive and not self.spent and call.request_ended:
+        if self._keep_alive and not self.spent and call.request.is_complete:
             self.resume_reading()
             self.forwarder.pool.keep(self)
         else:
             self.close()
-        call.on_response_end()
+        take_end(call)
 
     def note_head(self, head: ResponseHead) -> None:
         """Pass on the head of a response."""
@@ -140,7 +142,7 @@
         if head.keep_alive_s:
             self.keep_alive_s = head.keep_alive_s
         assert self.call is not None
-        if not self.call.on_response_head(head):
+        if not take_head(self.call, head):
             # A late response to an earlier call; the one that is due follows it.
             self._foreign = True
             self.spent = True
@@ -149,7 +151,7 @@
         """Pass on a part of a response's body."""
         if not self._foreign:
             assert self.call is not None
-            self.call.on_response_body(part)
+            take_body(self.call, part)
 
     def reject(self, malformed: Malformed) -> None:
         """Give up a connection whose response can't be read."""
@@ -163,7 +165,7 @@
         self.connected = True
         self._cancel_connect_timer()
         if self.call is not None:
-            self.call.on_upstream_connected()
+            self.call.request.connect()
         else:
             self.forwarder.pool.keep(self)
             self._tell_opened(True)
@@ -297,6 +299,12 @@
     upstream.take_body(event)
 
 
+@accept_event.register(BodyWanted)
+def _(event: BodyWanted, upstream: UpstreamConnection) -> None:
+    if upstream.call is not None:
+        upstream.call.request.follow()
+
+
 @accept_event.register(EndOfMessage)
 def _(event: EndOfMessage, upstream: UpstreamConnection) -> None:
     upstream.finish_response()
--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import cherrypy
 import msgspec
 from cherrypy._cpserver import Server
+from cherrypy._cpwsgi_server import CPWSGIServer
 from loguru import logger
 
 from monsoontray.discovery.messages import (
@@ -30,6 +32,7 @@
 
 NAME = "endpoint"
 THREADS = 2  # of each server; heartbeats come about once a second
+STOP_TIMEOUT_S = 0.2  # for requests that are being answered at a stop
 ASK_TIMEOUT_S = 0.8  # the platform waits a second for an answer
 MAX_BODY_BYTES = 65_536
 HEARTBEAT = "instances.heartbeat"
@@ -110,6 +113,7 @@
             settings.get_bind_address(name) for name in names if settings.get_text(name)
         }
         self._endpoint = Endpoint(kernel)
+        self._servers: list[CPWSGIServer] = []
 
     def start(self) -> None:
         """Serve the platform; raise OSError when an address is taken."""
@@ -124,28 +128,32 @@
         )
         as_sent = {"/": {"request.process_request_body": False}}
         cherrypy.tree.mount(self._endpoint, "/", as_sent)
-        cherrypy.engine.signals.subscriptions = {}
-        cherrypy.server.unsubscribe()
+        # CherryPy's engine would wait a tenth of a second for each of them.
         for address in self._addresses:
-            _build_server(address).subscribe()
-        cherrypy.engine.start()
+            server = CPWSGIServer(_build_adapter(address))
+            server.prepare()
+            self._servers.append(server)
+            name = f"{NAME}-{address.port}"
+            threading.Thread(target=server.serve, name=name, daemon=True).start()
 
     def stop(self, deadline: float) -> None:
         """Stop serving."""
-        cherrypy.engine.exit()
+        for server in self._servers:
+            server.stop()
 
     def post(self, message: object) -> None:
         """Reject messages; the service takes none."""
         raise TypeError(f"the endpoint takes no messages: {message!r}")
 
 
-def _build_server(address: Address) -> Server:
-    server = Server()
-    server.socket_host = address.host
-    server.socket_port = address.port
-    server.thread_pool = THREADS
-    server.max_request_body_size = MAX_BODY_BYTES
-    return server
+def _build_adapter(address: Address) -> Server:
+    adapter = Server()
+    adapter.socket_host = address.host
+    adapter.socket_port = address.port
+    adapter.thread_pool = THREADS
+    adapter.max_request_body_size = MAX_BODY_BYTES
+    adapter.shutdown_timeout = STOP_TIMEOUT_S
+    return adapter
 
 
 def _read_call(call: str, server: str, body: bytes) -> Callable[[Any], object]:
--- a/tests/test_decisions/test_guard.py
+++ b/tests/test_decisions/test_guard.py
@@ -9,10 +9,13 @@
 from monsoontray.decisions.guard import (
     ALIVE_S,
     COLD_WINDOW_S,
+    LATE_SHARE,
+    SERVICE_SHARE,
     ColdLimits,
     Granted,
     GuardState,
     Queued,
+    SlotRequest,
 )
 from monsoontray.decisions.outcomes import Ran, Reason, refuse_unrun
 from monsoontray.decisions.servers import ServerRecord, ServerState
@@ -22,10 +25,10 @@
 
 def test_slots_are_exact_and_the_queue_is_short():
     guard = GuardState(RECORD, queue_limit=1)
-    assert guard.request_slot("a", 9.0, 0) == Granted()
-    assert guard.request_slot("b", 9.0, 0) == Granted()
-    assert guard.request_slot("c", 9.0, 0) == Queued()
-    assert guard.request_slot("d", 9.0, 0) == refuse_unrun(Reason.NO_SLOT)
+    assert guard.request_slot("a", SlotRequest(9.0, 0)) == Granted()
+    assert guard.request_slot("b", SlotRequest(9.0, 0)) == Granted()
+    assert guard.request_slot("c", SlotRequest(9.0, 0)) == Queued()
+    assert guard.request_slot("d", SlotRequest(9.0, 0)) == refuse_unrun(Reason.NO_SLOT)
     assert guard.release_slot(1.0) == "c"
     assert guard.release_slot(1.0) is None
     assert guard.in_use == 1
@@ -33,26 +36,26 @@
 
 def test_connections_bound_the_calls_as_well():
     guard = GuardState(replace(RECORD, connections=1), 0)
-    assert guard.request_slot("a", 9.0, 0) == Granted()
-    assert guard.request_slot("b", 9.0, 0) == refuse_unrun(Reason.NO_SLOT)
+    assert guard.request_slot("a", SlotRequest(9.0, 0)) == Granted()
+    assert guard.request_slot("b", SlotRequest(9.0, 0)) == refuse_unrun(Reason.NO_SLOT)
 
 
 def test_the_queue_serves_plan_priority_then_deadline():
     guard = GuardState(replace(RECORD, slots=1), 9)
-    guard.request_slot("runs", 9.0, 0)
-    guard.request_slot("low", 2.0, 5)
-    guard.request_slot("later", 8.0, 1)
-    guard.request_slot("sooner", 7.0, 1)
+    guard.request_slot("runs", SlotRequest(9.0, 0))
+    guard.request_slot("low", SlotRequest(2.0, 5))
+    guard.request_slot("later", SlotRequest(8.0, 1))
+    guard.request_slot("sooner", SlotRequest(7.0, 1))
     order = [guard.release_slot(0.0) for _ in range(3)]
     assert order == ["sooner", "later", "low"]
 
 
 def test_a_call_past_its_deadline_or_gone_gets_no_slot():
     guard = GuardState(replace(RECORD, slots=1), 9)
-    guard.request_slot("runs", 9.0, 0)
-    guard.request_slot("late", 2.0, 0)
-    guard.request_slot("gone", 8.0, 0)
-    guard.request_slot("waits", 9.0, 0)
+    guard.request_slot("runs", SlotRequest(9.0, 0))
+    guard.request_slot("late", SlotRequest(2.0, 0))
+    guard.request_slot("gone", SlotRequest(8.0, 0))
+    guard.request_slot("waits", SlotRequest(9.0, 0))
     assert guard.forget_waiting("gone")
     assert not guard.forget_waiting("gone")
     assert guard.release_slot(3.0) == "waits"
@@ -60,16 +63,18 @@
 
 def test_a_leaving_server_gets_no_new_work_but_keeps_what_runs():
     guard = GuardState(RECORD, 9)
-    guard.request_slot("runs", 9.0, 0)
+    guard.request_slot("runs", SlotRequest(9.0, 0))
     guard.update_record(replace(RECORD, state=ServerState.LEAVING), 0.0)
-    assert guard.request_slot("new", 9.0, 0) == refuse_unrun(Reason.SERVER_LEAVING)
+    assert guard.request_slot("new", SlotRequest(9.0, 0)) == refuse_unrun(
+        Reason.SERVER_LEAVING
+    )
     assert guard.in_use == 1
 
 
 def test_more_slots_let_waiting_calls_run():
     guard = GuardState(replace(RECORD, slots=1), 9)
     for name in "abcd":
-        guard.request_slot(name, 9.0, 0)
+        guard.request_slot(name, SlotRequest(9.0, 0))
     assert guard.update_record(replace(RECORD, slots=3), 0.0) == ["b", "c"]
 
 
@@ -89,7 +94,7 @@
     slots = RECORD.slots
     for number, (event, value) in enumerate(events):
         if event == "call":
-            outcome = guard.request_slot(number, 1e9, value)
+            outcome = guard.request_slot(number, SlotRequest(1e9, value))
             if outcome == Granted():
                 running.add(number)
                 assert len(running) <= slots
@@ -120,7 +125,7 @@
     times = []
     for i in range(400):
         now = i * 0.01
-        if guard.request_slot(i, 99.0, 0, now) == Granted():
+        if guard.request_slot(i, SlotRequest(99.0, 0), now) == Granted():
             times.append(now)
             guard.release_slot(now)
     for start in times:
@@ -131,30 +136,32 @@
 def test_a_server_in_doubt_is_treated_as_cold_until_it_announces_itself():
     record = replace(RECORD, slots=100, cold_per_s=1.0)
     guard = GuardState(record, 9, ColdLimits(1.0, 0.5))
-    assert guard.request_slot("a", 99.0, 0, 1.0) == Granted()
+    assert guard.request_slot("a", SlotRequest(99.0, 0), 1.0) == Granted()
     guard.confirmed = False
-    refusal = guard.request_slot("b", 99.0, 0, 1.0)
+    refusal = guard.request_slot("b", SlotRequest(99.0, 0), 1.0)
     assert (refusal.reason, refusal.ran) == (Reason.SERVER_COLD, Ran.NOT_RUN)
     guard.confirmed = True
-    assert guard.request_slot("b", 99.0, 0, 1.0) == Granted()
+    assert guard.request_slot("b", SlotRequest(99.0, 0), 1.0) == Granted()
 
 
 def test_a_closed_guard_passes_nothing_on():
     guard = GuardState(RECORD, 9)
     guard.closed = Reason.ZONE_EVACUATED
-    assert guard.request_slot("a", 9.0, 0) == refuse_unrun(Reason.ZONE_EVACUATED)
+    assert guard.request_slot("a", SlotRequest(9.0, 0)) == refuse_unrun(
+        Reason.ZONE_EVACUATED
+    )
 
 
 def test_calls_that_would_wait_past_their_deadline_are_refused_at_once():
     guard = GuardState(replace(RECORD, slots=1), 99)
     guard.note_service(0.1)
-    guard.request_slot("runs", 9.0, 1, 0.0)
-    assert guard.request_slot("waits", 0.3, 1, 0.0) == Queued()
-    refusal = guard.request_slot("too late", 0.25, 1, 0.0)
+    guard.request_slot("runs", SlotRequest(9.0, 1), 0.0)
+    assert guard.request_slot("waits", SlotRequest(0.3, 1), 0.0) == Queued()
+    refusal = guard.request_slot("too late", SlotRequest(0.25, 1), 0.0)
     assert refusal.reason is Reason.NO_SLOT
     assert refusal.retry_after_s == pytest.approx(0.2)
     # What is more urgent does not wait behind it.
-    assert guard.request_slot("urgent", 0.25, 0, 0.0) == Queued()
+    assert guard.request_slot("urgent", SlotRequest(0.25, 0), 0.0) == Queued()
 
 
 def test_the_load_report_shows_what_a_cold_server_bears():
@@ -176,9 +183,57 @@
 def test_a_cold_refusal_says_when_there_is_room_again():
     cold = replace(RECORD, slots=9, cold_until=100.0, cold_per_s=2.0)
     guard = GuardState(cold, 9, ColdLimits(1.0, 1.0))
-    assert guard.request_slot("a", 9.0, 0, now=1.0) == Granted()
-    assert guard.request_slot("b", 9.0, 0, now=1.5) == Granted()
-    refused = guard.request_slot("c", 9.0, 0, now=1.6)
+    assert guard.request_slot("a", SlotRequest(9.0, 0), now=1.0) == Granted()
+    assert guard.request_slot("b", SlotRequest(9.0, 0), now=1.5) == Granted()
+    refused = guard.request_slot("c", SlotRequest(9.0, 0), now=1.6)
     assert refused.reason is Reason.SERVER_COLD
     assert refused.retry_after_s == pytest.approx(1.0 + COLD_WINDOW_S - 1.6)
-    assert guard.request_slot("d", 9.0, 0, now=1.0 + COLD_WINDOW_S) == Granted()
+    assert (
+        guard.request_slot("d", SlotRequest(9.0, 0), now=1.0 + COLD_WINDOW_S)
+        == Granted()
+    )
+
+
+def fill(guard, count, **wanted):
+    """Ask for slots until one more would be refused; return what was said."""
+    return [
+        guard.request_slot(i, SlotRequest(9.0, 1, **wanted), 0.0) for i in range(count)
+    ]
+
+
+def test_calls_that_would_be_late_wait_behind_those_that_would_not():
+    guard = GuardState(replace(RECORD, slots=1), 64)
+    guard.service_s = 0.1
+    assert fill(guard, 3, objective=0.45) == [Granted(), Queued(), Queued()]
+    late = guard.request_slot("late", SlotRequest(9.0, 0, objective=0.1), 0.0)
+    assert late == Queued()
+    assert guard.request_slot("soon", SlotRequest(9.0, 2, 1.0), 0.0) == Queued()
+    order = [guard.release_slot(0.0) for _ in range(4)]
+    assert order == [1, 2, "soon", "late"]
+
+
+def test_a_server_that_is_behind_refuses_instead_of_answering_all_late():
+    guard = GuardState(replace(RECORD, slots=2), 64)
+    guard.service_s = 0.1
+    outcomes = [
+        guard.request_slot(i, SlotRequest(0.8, 1, objective=0.3), 0.0)
+        for i in range(40)
+    ]
+    assert outcomes[:2] == [Granted()] * 2
+    refused = [each for each in outcomes if each not in (Granted(), Queued())]
+    assert {each.reason for each in refused} == {Reason.NO_SLOT}
+    # The last one waits for 8 services of two at a time, and then for its own.
+    assert len(outcomes) - len(refused) == 2 + 8
+    assert 8 * 0.1 / 2 + SERVICE_SHARE * 0.1 <= LATE_SHARE * 0.8
+    assert 9 * 0.1 / 2 + SERVICE_SHARE * 0.1 > LATE_SHARE * 0.8
+    assert all(each.retry_after_s > 0 for each in refused)
+
+
+def test_the_time_of_the_route_decides_what_would_be_late():
+    guard = GuardState(replace(RECORD, slots=1), 64)
+    guard.service_s = 0.01
+    guard.suspicion.means["scan"] = 1.0
+    assert guard.request_slot("a", SlotRequest(9.0, 1), 0.0) == Granted()
+    guard.request_slot("scan", SlotRequest(9.0, 1, 0.5, "scan"), 0.0)
+    guard.request_slot("read", SlotRequest(9.0, 1, 0.5, "read"), 0.0)
+    assert guard.release_slot(0.0) == "read"
--- a/tests/test_decisions/test_servers.py
+++ b/tests/test_decisions/test_servers.py
@@ -88,6 +88,18 @@
         assert choose([NEAR, new], loads, now=30.0, seed=i) is NEAR
 
 
+def test_room_is_what_the_last_report_and_own_calls_leave():
+    loads = LoadView()
+    assert loads.has_room("near")
+    loads.hear("near", LoadReport(calls=1, slots=2, service_s=0.1), 0.0)
+    assert loads.has_room("near")
+    loads.begin("near")
+    assert not loads.has_room("near")
+    loads.end("near")
+    loads.hear("near", LoadReport(calls=2, slots=2, service_s=0.1), 0.1)
+    assert not loads.has_room("near")
+
+
 def test_a_server_is_not_tried_twice():
     assert choose([NEAR, OTHER_ZONE], tried=("near",)) is OTHER_ZONE
     assert choose([NEAR], tried=("near",)) is None
--- a/tests/test_forwarding/test_malformed.py
+++ b/tests/test_forwarding/test_malformed.py
@@ -120,13 +120,15 @@
             while not stop.wait(1.0):
                 fleet.post_json(fleet.nodes[1].operator, "/announce", announcement)
 
-        threading.Thread(target=repeat, daemon=True).start()
+        announcer = threading.Thread(target=repeat, daemon=True)
+        announcer.start()
         fleet.wait_for(
             lambda: exchange(entry.entry, HEAD + b"Content-Length: 0\r\n\r\n") == [200],
             "the strict server",
         )
         yield entry.entry, server
         stop.set()
+        announcer.join()
         server.listener.close()
 
 
--- a/tests/test_forwarding/test_responses.py
+++ b/tests/test_forwarding/test_responses.py
@@ -101,3 +101,9 @@
         assert find_status(Refusal(reason, Ran.UNKNOWN)) not in (408, 421, 429, 503)
     assert find_status(Refusal(Reason.NO_ROUTE, Ran.NOT_RUN)) == 404
     assert find_status(Refusal(Reason.NO_VERSION, Ran.NOT_RUN)) == 503
+
+
+def test_a_call_that_has_certainly_not_run_is_said_to_be_so():
+    for reason in (Reason.CONNECTION_LOST, Reason.NO_ANSWER, Reason.DEADLINE_PASSED):
+        assert find_status(Refusal(reason, Ran.NOT_RUN)) == 503
+        assert find_status(Refusal(reason, Ran.UNKNOWN)) in (502, 504)
--- a/tests/test_platform/test_mesh.py
+++ b/tests/test_platform/test_mesh.py
@@ -56,7 +56,8 @@
 
 
 def count_runs(mesh, call_id):
-    return sum(mesh.observe(node)["runs"].get(call_id, 0) for node in mesh.nodes)
+    servers = [node for node in mesh.nodes if node.backend is not None]
+    return sum(mesh.observe(node)["runs"].get(call_id, 0) for node in servers)
 
 
 def test_calls_reach_the_servers_of_their_route_as_they_were_sent(mesh):
@@ -159,6 +160,30 @@
     assert count_runs(mesh, "s9") == 1
 
 
+def test_a_slow_answer_is_waited_for_while_no_other_server_has_room(mesh):
+    start(mesh)
+    first, second = mesh.nodes
+    for i in range(20):
+        for node in mesh.nodes:
+            assert call(node, f"/read/{i}", f"w{node.handle.name}{i}").status == 200
+    for node in mesh.nodes:
+        mesh.control(node, service_ms=1_000)
+    routers = [Router(second.handle.entry) for _ in range(4)]
+    for i, router in enumerate(routers):  # they fill the second server
+        router._sock.sendall(build_mesh_request(f"/read/{i}", f"full{i}"))
+    mesh.fleet.wait_for(
+        lambda: (
+            len(mesh.observe(second)["runs"]) + len(mesh.observe(first)["runs"]) >= 44
+        ),
+        "both servers at work",
+    )
+    response = call(first, "/read/9", "slow", X_Deadline_Ms="3500")
+    assert response.status == 200
+    assert count_runs(mesh, "slow") <= 2
+    for router in routers:
+        router.close()
+
+
 def test_a_server_that_breaks_answers_off_is_not_taken_for_a_cold_one(mesh):
     start(mesh, 1)
     node = mesh.nodes[0]
@@ -188,6 +213,27 @@
         backend.send_signal(signal.SIGCONT)
 
 
+def test_an_order_goes_elsewhere_from_a_node_that_stands_still(mesh):
+    mesh.order("op/config", build_configuration(1, READ, ORDER))
+    entry = mesh.add_node("node-0", "zone-0", "two")
+    for i in (1, 2):
+        mesh.start_server(mesh.add_node(f"node-{i}", "zone-0", "one"), f"i-{i}")
+    mesh.wait_for_servers(2)
+    mesh.fleet.wait_for(lambda: mesh.is_ready(entry), "readiness")
+    mesh.control(mesh.nodes[2], service_ms=100)  # so that the other one is preferred
+    for i in range(10):
+        assert call(entry, f"/read/{i}", f"r{i}").status == 200
+    frozen = mesh.nodes[1].handle.process
+    frozen.send_signal(signal.SIGSTOP)
+    try:
+        for i in range(10):
+            order = call(entry, f"/order/{i}", f"o{i}", "POST", b"x" * 100)
+            assert order.status == 200
+    finally:
+        frozen.send_signal(signal.SIGCONT)
+    assert [count_runs(mesh, f"o{i}") for i in range(10)] == [1] * 10
+
+
 def test_configurations_only_go_forward(mesh):
     start(mesh)
     moved = build_route("/new/", "one")
