Follow the three ways of OPERATIONS.md by a test; test the bound of log lines

Cause: no test showed that a failed request's id leads to its cause, nor that answered calls leave lines to refused ones.

--- /dev/null
+++ b/tests/test_forwarding/test_report.py
@@ -0,0 +1,92 @@
+"""Test that the lines about calls are bounded and keep what engineers look for."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+from loguru import logger
+
+from monsoontray.decisions.outcomes import Reason, refuse_unrun
+from monsoontray.decisions.retries import AttemptRecord
+from monsoontray.decisions.servers import LoadView
+from monsoontray.forwarding.report import LINES_AT_ONCE, LINES_PER_S, Report
+from monsoontray.forwarding.routes import EntryRoute
+
+ROUTE = EntryRoute("one", "", "", "read", 1, True, 2, 9.0)
+
+
+class CountingMetrics:
+    def __init__(self):
+        self.responses = 0
+        self.refusals = 0
+        self.suppressed = 0
+
+    def count_refusal(self, reason, ran):
+        self.refusals += 1
+
+    def count_suppressed_line(self):
+        self.suppressed += 1
+
+    def observe_call(self, side, seconds):
+        pass
+
+
+@pytest.fixture
+def forwarder():
+    return SimpleNamespace(
+        now=0.0,
+        metrics=CountingMetrics(),
+        loads=LoadView(),
+        route_table=SimpleNamespace(number=7),
+        entitlements=None,
+    )
+
+
+@pytest.fixture
+def lines():
+    written = []
+    logger.remove()
+    number = logger.add(lambda line: written.append(line.record), level="INFO")
+    yield written
+    logger.remove(number)
+
+
+def build_call(name):
+    return SimpleNamespace(
+        call_id=name,
+        route=ROUTE,
+        server="i-1",
+        attempts=AttemptRecord(),
+        started=0.0,
+    )
+
+
+def test_every_call_is_counted_and_the_lines_are_bounded(forwarder, lines):
+    report = Report(forwarder)
+    for second in range(3):
+        forwarder.now = float(second)
+        for i in range(1000):
+            report.refusal(refuse_unrun(Reason.NO_SLOT), build_call(f"c{i}"))
+    assert forwarder.metrics.refusals == 3000
+    assert len(lines) == LINES_AT_ONCE + 2 * LINES_PER_S
+    assert forwarder.metrics.suppressed == 3000 - len(lines)
+    assert lines[LINES_AT_ONCE]["extra"]["left_out"] == 1000 - LINES_AT_ONCE
+
+
+def test_answered_calls_leave_lines_to_those_that_were_refused(forwarder, lines):
+    report = Report(forwarder)
+    for i in range(1000):
+        report.response(build_call(f"a{i}"))
+    report.refusal(refuse_unrun(Reason.NO_SLOT), build_call("refused"))
+    fields = lines[-1]["extra"]
+    assert lines[-1]["message"] == "call refused"
+    assert (fields["call"], fields["reason"]) == ("refused", "no-slot")
+    assert (fields["version"], fields["ran"]) == (7, "not-run")
+
+
+def test_a_line_says_how_old_the_news_of_the_server_was(forwarder, lines):
+    forwarder.loads.hear("i-1", None, 0.0)
+    forwarder.now = 0.25
+    Report(forwarder).response(build_call("a"))
+    assert lines[0]["extra"]["load_ms"] == 250
--- /dev/null
+++ b/tests/test_platform/test_operations.py
@@ -0,0 +1,95 @@
+"""Follow the three ways of docs/OPERATIONS.md on real processes."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from bench.fleet import Fleet
+from bench.mesh import Mesh, build_configuration
+from tests.test_platform.test_mesh import ORDER, READ, call
+
+
+@pytest.fixture
+def mesh():
+    with Fleet() as fleet:
+        fleet.start_store()
+        mesh = Mesh(fleet)
+        mesh.order("op/config", build_configuration(1, READ, ORDER))
+        mesh.add_node("node-0", "zone-0", "two", log_format="json")
+        guard = mesh.add_node("node-1", "zone-0", "one", log_format="json")
+        mesh.start_server(guard, "i-1")
+        mesh.wait_for_servers(1)
+        for node in mesh.nodes:
+            mesh.fleet.wait_for(lambda node=node: mesh.is_ready(node), "readiness")
+        yield mesh
+
+
+def find_lines(mesh, name, **wanted):
+    """Return the lines of a node's log that hold what is looked for."""
+    text = (mesh.fleet.directory / f"{name}.log").read_text()
+    lines = [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+    return [line for line in lines if wanted.items() <= line.items()]
+
+
+def read_counter(mesh, node, start):
+    """Return the value of the metric whose line begins so."""
+    url = f"http://{node.handle.operator}/metrics"
+    for line in mesh.fleet.http.request("GET", url).data.decode().splitlines():
+        if line.startswith(start):
+            return float(line.split()[-1])
+    return 0.0
+
+
+def test_a_refusal_leads_from_the_entry_to_what_the_guard_said(mesh):
+    entry, guard = mesh.nodes
+    mesh.control(guard, state="draining")
+    mesh.fleet.wait_for(lambda: mesh.count_servers(entry) == 0, "word of the leaving")
+    assert call(entry, "/order/1", "refused-1", "POST").status == 503
+    (line,) = find_lines(mesh, "node-0", call="refused-1", message="call refused")
+    assert (line["side"], line["reason"], line["ran"]) == (
+        "entry", "no-server", "not-run",
+    )  # fmt: skip
+    changed = find_lines(mesh, "node-1", message="local server changed")[-1]
+    assert (changed["server"], changed["state"]) == ("i-1", "leaving")
+    assert changed["time"] < line["time"]
+    refusals = 'monsoontray_refusals_total{ran="not-run",reason="no-server"}'
+    assert read_counter(mesh, entry, refusals) >= 1
+
+
+def test_an_unknown_end_leads_to_the_guard_and_its_server(mesh):
+    entry, guard = mesh.nodes
+    mesh.control(guard, silent=True)
+    answer = call(entry, "/order/1", "stuck-1", "POST", b"x", X_Deadline_Ms="500")
+    assert answer.status == 504
+    (line,) = find_lines(mesh, "node-0", call="stuck-1", message="call refused")
+    assert (line["reason"], line["ran"]) == ("deadline-passed", "unknown")
+    status = mesh.fleet.get_json(entry.handle.operator, "/status")
+    (name,) = [
+        node["node"]
+        for node in status["nodes"]
+        if node["server"] and line["server"] in node["server"]
+    ]
+    assert name == "node-1"
+    (seen,) = [
+        each for each in find_lines(mesh, name, call="stuck-1") if "reason" in each
+    ] or find_lines(mesh, name, call="stuck-1", message="caller gone")
+    assert seen["side"] == "guard"
+    assert seen["ms"] > 400
+
+
+def test_an_old_configuration_leads_to_when_the_node_heard_of_the_next(mesh):
+    entry = mesh.nodes[0]
+    assert call(entry, "/read/1", "old-1").status == 200
+    mesh.order("op/config", build_configuration(2, ORDER))
+    mesh.fleet.wait_for(
+        lambda: call(entry, "/read/1", "new-1").status == 404, "the new configuration"
+    )
+    (line,) = find_lines(mesh, "node-0", call="old-1")
+    assert line["version"] == 1
+    first, second = find_lines(mesh, "node-0", message="configuration in force")
+    assert (first["version"], second["version"]) == (1, 2)
+    assert first["time"] < line["time"] < second["time"]
+    refused = find_lines(mesh, "node-0", call="new-1", reason="no-route")[-1]
+    assert refused["version"] == 2
