Let the stand-in store write late and read stale; name peers apart in log lines

Cause: the stand-in had no late writes and no stale reads, so no test showed that a late write has no effect once its condition is gone; lines about a peer bore the peer's name in the field of the node that wrote them. Change: two faults of the stand-in, with tests; the field is called peer.

--- a/bench/standins/store.py
+++ b/bench/standins/store.py
@@ -38,6 +38,8 @@
     busy: bool = False  # every call is refused with 503
     latency_ms: float = 0.0
     lose_answers: bool = False  # writes take effect, their answers are lost
+    late_ms: float = 0.0  # writes take effect so much later, their answers are lost
+    stale: bool = False  # reads that allow it show what there was when this was set
     writes_per_s: float = 0.0  # 0 means no limit
     reads_per_s: float = 0.0
 
@@ -101,6 +103,8 @@
     counts: Counter[str] = field(default_factory=Counter)
     calls: deque[tuple[float, str]] = field(default_factory=deque)
     faults: Faults = field(default_factory=Faults)
+    late: set[asyncio.Task[None]] = field(default_factory=set)
+    stale_entries: dict[str, Entry] = field(default_factory=dict)
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
     names: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
 
@@ -135,7 +139,7 @@
         await self._begin(request, "read")
         self._lapse()
         key = request.query["key"]
-        entry = self.state.entries.get(key)
+        entry = self._find_entries(request).get(key)
         if entry is None:
             return web.json_response({"as_of": self.state.revision}, status=404)
         item = _describe(key, entry)
@@ -146,7 +150,7 @@
         await self._begin(request, "read")
         self._lapse()
         prefix, after = request.query["prefix"], request.query.get("after", "")
-        entries = self.state.entries
+        entries = self._find_entries(request)
         keys = sorted(k for k in entries if k.startswith(prefix) and k > after)
         items = [_describe(key, entries[key]) for key in keys[:PAGE_ITEMS]]
         return web.json_response(
@@ -189,6 +193,10 @@
         await self._begin(request, "write")
         body = msgspec.json.decode(await request.read(), type=WriteBody)
         self._lapse()
+        if self.state.faults.late_ms:
+            late_s = self.state.faults.late_ms / MS_PER_S
+            self.state.late.add(asyncio.create_task(self._write_late(body, late_s)))
+            _cut(request)
         refusal = self._check_write(body)
         if refusal is not None:
             return refusal
@@ -245,6 +253,7 @@
             self.state.revision += 1
             self.state.oldest = self.state.revision
         self.state.faults = msgspec.convert(body, Faults)
+        self.state.stale_entries = dict(self.state.entries)
         await self._notify()
         return web.json_response({})
 
@@ -272,6 +281,18 @@
         if faults.latency_ms:
             await asyncio.sleep(faults.latency_ms / MS_PER_S)
 
+    async def _write_late(self, body: WriteBody, late_s: float) -> None:
+        await asyncio.sleep(late_s)
+        if self._check_write(body) is None:
+            self._change(body)
+            await self._notify()
+
+    def _find_entries(self, request: web.Request) -> dict[str, Entry]:
+        """Return what a read sees."""
+        if self.state.faults.stale and request.query.get("allow_stale") == "1":
+            return self.state.stale_entries
+        return self.state.entries
+
     def _check_write(self, body: WriteBody) -> web.Response | None:
         changes = len(body.expect) + len(body.puts) + len(body.remove)
         keys = [put.key for put in body.puts] + body.remove
--- a/monsoontray/discovery/relay.py
+++ b/monsoontray/discovery/relay.py
@@ -67,6 +67,6 @@
             response = self._http.request("GET", url, timeout=TIMEOUT_S)
             copy = msgspec.json.decode(response.data, type=MirrorShape)
         except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
-            logger.bind(node=node.node).debug("peer gave no copy: {}", error)
+            logger.bind(peer=node.node).debug("peer gave no copy: {}", error)
             return None
         return Listing(copy.records, copy.revision)
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -90,7 +90,7 @@
                 logger.warning("own record was removed from the store")
                 self._publish()
             else:
-                logger.bind(node=name).info("node is no longer listed")
+                logger.bind(peer=name).info("node is no longer listed")
                 self._directory.unlist(name, now)
         self._tell_servers()
 
--- a/tests/test_store/test_http.py
+++ b/tests/test_store/test_http.py
@@ -108,6 +108,29 @@
     assert client.get("lost").value == b"written"
 
 
+def test_a_late_write_takes_effect_only_if_its_condition_still_holds(client, store):
+    set_faults(store, late_ms=300)
+    assert isinstance(client.compare_and_swap("late", ABSENT, b"late"), Unknown)
+    assert isinstance(client.compare_and_swap("beaten", ABSENT, b"late"), Unknown)
+    assert client.get("late").revision == ABSENT
+    set_faults(store)
+    first = client.compare_and_swap("beaten", ABSENT, b"first")
+    assert isinstance(first, Done)
+    store.wait_for(lambda: client.get("late").value == b"late", "the late write")
+    assert client.get("beaten") == Record("beaten", first.revision, b"first")
+
+
+def test_reads_are_never_stale_unless_they_allow_it(client, store):
+    written = client.compare_and_swap("stale", ABSENT, b"old")
+    set_faults(store, stale=True)
+    client.compare_and_swap("stale", written.revision, b"new")
+    assert client.get("stale").value == b"new"
+    (record,) = client.list_prefix("stale").records
+    assert record.value == b"new"
+    url = f"http://{store.store_address}/kv-key?key=stale&allow_stale=1"
+    assert store.http.request("GET", url).json()["revision"] == written.revision
+
+
 def test_an_outage_is_told_apart_from_a_lost_write(client, store):
     set_faults(store, out=True)
     assert client.get("any") == NotDone(Cause.CONNECTION_LOST)
