--- a/monsoontray/decisions/fleet.py
+++ b/monsoontray/decisions/fleet.py
@@ -286,8 +286,8 @@
 
     def _set_deadline(self, record: NodeRecord, now: float) -> None:
         if record.state is NodeState.SUSPECT:
-            patience = 1.0 + max(0, self._strain - 1) / 2
-            self._deadlines[record.node] = now + SUSPICION_S * patience
+            factor = 1.0 + max(0, self._strain - 1) / 2
+            self._deadlines[record.node] = now + SUSPICION_S * factor
         elif record.state is NodeState.DEAD:
             self._deadlines[record.node] = now + TOMBSTONE_S
         else:
--- a/monsoontray/decisions/patience.py
+++ b/monsoontray/decisions/timeouts.py
@@ -6,8 +6,8 @@
 
 #: An attempt that takes this many times as long as it should is stuck: beyond nearly
 #: all work times.
-PATIENCE_FACTOR = 2.5
-MIN_PATIENCE_S = 0.1  # shorter waits are not told apart from a busy machine
+TIMEOUT_FACTOR = 2.5
+MIN_TIMEOUT_S = 0.1  # shorter waits are not told apart from a busy machine
 MEAN_WEIGHT = 0.05  # of the latest call in the mean time of a route
 
 
@@ -24,13 +24,13 @@
         mean = self._means.get(route, seconds)
         self._means[route] = mean + (seconds - mean) * MEAN_WEIGHT
 
-    def find_patience(self, route: str, expected_s: float) -> float:
+    def find_timeout(self, route: str, expected_s: float) -> float:
         """Return the seconds after which an attempt is taken to be stuck.
 
         ``expected_s`` is what the load of its server leads to, over all routes.
         """
         usual_s = max(expected_s, self._means.get(route, 0.0))
-        return max(MIN_PATIENCE_S, PATIENCE_FACTOR * usual_s)
+        return max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * usual_s)
 
     def forget_except(self, routes: Collection[str]) -> None:
         """Forget the routes that are gone."""
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -21,7 +21,7 @@
 )
 from monsoontray.forwarding.attempts import start_attempt
 from monsoontray.forwarding.heads import RequestHead
-from monsoontray.forwarding.replacing import lose_patience, suspect_guard
+from monsoontray.forwarding.replacing import handle_timeout, suspect_guard
 from monsoontray.forwarding.routes import EntryRoute, GuardRoute, Hop
 from monsoontray.forwarding.sending import RequestSender, build_id_line
 
@@ -40,7 +40,7 @@
 
     __slots__ = (
         "_attempt_started",
-        "_patience",
+        "_attempt_timer",
         "_slot_since",
         "_timer",
         "attempts",
@@ -89,7 +89,7 @@
         self.held: HeldResponse | None = None
         self._attempt_started = self.started
         self.expected_s = 0.0  # time that the current attempt should take
-        self._patience: Timer | None = None
+        self._attempt_timer: Timer | None = None
         self._slot_since = 0.0
         self._timer = forwarder.timers.add(route.deadline, self._pass_deadline)
 
@@ -104,15 +104,15 @@
         start_attempt(self.route, self)
 
     def expect_response(self, expected_s: float) -> None:
-        """Wait for the response of an attempt with a patience that fits it."""
+        """Wait for the response of an attempt until the time-out that fits it."""
         self._attempt_started = self.now
         self.expected_s = expected_s
-        self.drop_patience()
+        self.stop_attempt_timer()
         times = self.forwarder.response_times
-        due = self.now + times.find_patience(self.route.name, expected_s)
+        due = self.now + times.find_timeout(self.route.name, expected_s)
         if due < self.route.deadline:
-            self._patience = self.forwarder.timers.add(
-                due, partial(lose_patience, self)
+            self._attempt_timer = self.forwarder.timers.add(
+                due, partial(handle_timeout, self)
             )
 
     def hold_slot(self, guard: GuardState) -> None:
@@ -215,11 +215,11 @@
             self.guard = None
             self.forwarder.guards.release_slot(guard)
 
-    def drop_patience(self) -> None:
+    def stop_attempt_timer(self) -> None:
         """Wait for the current attempt until the deadline."""
-        if self._patience is not None:
-            self.forwarder.timers.cancel(self._patience)
-            self._patience = None
+        if self._attempt_timer is not None:
+            self.forwarder.timers.cancel(self._attempt_timer)
+            self._attempt_timer = None
 
     def try_budget(self) -> bool:
         """Count a repeat if the budget allows it; say whether it does."""
@@ -231,7 +231,7 @@
     def leave_attempt(self, refusal: Refusal) -> None:
         """Give back what the current attempt holds, and record how it failed."""
         self.held = None
-        self.drop_patience()
+        self.stop_attempt_timer()
         self.forwarder.guards.forget_waiting(self)
         if self.attempts.leave(self.server, refusal):
             self._count_arrival()
@@ -275,7 +275,7 @@
             self.refuse(self.qualify(Reason.DEADLINE_PASSED))
 
     def _end(self) -> None:
-        self.drop_patience()
+        self.stop_attempt_timer()
         self.forwarder.timers.cancel(self._timer)
         self.forwarder.guards.forget_waiting(self)
         self.release()
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -13,13 +13,13 @@
 from monsoontray.decisions.admission import NO_ENTITLEMENTS
 from monsoontray.decisions.budget import RetryBudgets
 from monsoontray.decisions.outcomes import Reason, Refusal, refuse_unrun
-from monsoontray.decisions.patience import ResponseTimes
 from monsoontray.decisions.servers import (
     Endpoint,
     LoadView,
     Place,
     ServerTable,
 )
+from monsoontray.decisions.timeouts import ResponseTimes
 from monsoontray.forwarding.call import Call
 from monsoontray.forwarding.caller import CallerConnection
 from monsoontray.forwarding.guards import LocalGuards
--- a/monsoontray/forwarding/receiving.py
+++ b/monsoontray/forwarding/receiving.py
@@ -38,7 +38,7 @@
     verdict = judge_response(head, call.call_id, vocabulary)
     if isinstance(verdict, Foreign):
         return False
-    call.drop_patience()
+    call.stop_attempt_timer()
     if isinstance(verdict, Refusal):
         call.request.drop()
         if verdict.ran is Ran.UNKNOWN:
--- a/monsoontray/forwarding/replacing.py
+++ b/monsoontray/forwarding/replacing.py
@@ -14,7 +14,7 @@
     from monsoontray.forwarding.routes import Hop
 
 
-def lose_patience(call: Call) -> None:
+def handle_timeout(call: Call) -> None:
     """Act on a server or a guard that has not answered for long."""
     if call.guard_refusal is not None:
         return
--- a/tests/test_forwarding/test_call_model.py
+++ b/tests/test_forwarding/test_call_model.py
@@ -16,7 +16,6 @@
 from monsoontray.decisions.budget import RetryBudgets
 from monsoontray.decisions.guard import GuardState
 from monsoontray.decisions.outcomes import Ran, Reason, refuse_unknown, refuse_unrun
-from monsoontray.decisions.patience import ResponseTimes
 from monsoontray.decisions.retries import AttemptRecord, Retry
 from monsoontray.decisions.servers import (
     Endpoint,
@@ -25,6 +24,7 @@
     ServerRecord,
     ServerState,
 )
+from monsoontray.decisions.timeouts import ResponseTimes
 from monsoontray.forwarding import call as call_module
 from monsoontray.forwarding import refusals
 from monsoontray.forwarding.attempts import use_slot
@@ -366,7 +366,7 @@
 
 
 def forget_ended(self):
-    self.drop_patience()
+    self.stop_attempt_timer()
     self.release()
     self.forwarder.forget_call(self)
 
