--- a/monsoontray/forwarding/report.py
+++ b/monsoontray/forwarding/report.py
@@ -16,8 +16,8 @@
     from monsoontray.forwarding.forwarder import Forwarder
     from monsoontray.forwarding.heads import RequestHead
 
-#: Lines a second about calls; a line costs about 50 us, so this is half a percent
-#: of a core.
+#: Lines a second about calls; a line costs about 75 us, so these are less than one
+#: percent of a core.
 LINES_PER_S = 100
 LINES_AT_ONCE = 200  # after a quiet time
 KEPT_LINES = 100  # of these, for calls that did not simply end well
