Remember departures of servers that this process never heard of

Change: such a departure holds for 15 s against announcements of incarnations born before it; each departure is logged, known or not. A server that starts again under its name was born later and is heard.

--- a/monsoontray/decisions/announcements.py
+++ b/monsoontray/decisions/announcements.py
@@ -8,6 +8,10 @@
 from monsoontray.decisions.servers import ServerRecord, ServerState
 
 MAX_FORMER = 64  # incarnations that are remembered as gone
+#: Time that a server which left without telling its incarnation stays gone: its
+#: announcements may arrive seconds late.
+DEPARTED_S = 15.0
+_MS_PER_S = 1000
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,19 +40,22 @@
 class LocalServer:
     """Hold the announcement in force of the server on this VM."""
 
-    __slots__ = ("_former", "_last", "cold_until")
+    __slots__ = ("_departed", "_former", "_last", "cold_until")
 
     def __init__(self) -> None:
         self._last: Announcement | None = None
         self.cold_until = 0.0
         #: Incarnations that have left or were followed by another one.
         self._former: dict[tuple[str, int], None] = {}
+        #: Servers that left untold in which incarnation: until when that holds, and
+        #: the time of day at which they left, in milliseconds.
+        self._departed: dict[str, tuple[float, float]] = {}
 
     def hear(self, announcement: Announcement, now: float) -> Effect:
         """Take an announcement unless a later one holds."""
         name = (announcement.server, announcement.born)
         last = self._last
-        if name in self._former:
+        if name in self._former or self._has_departed(announcement, now):
             return Effect.STALE
         if last is not None:
             if announcement.born < last.born:
@@ -67,8 +74,14 @@
             return Effect.CHANGED
         return Effect.REPEATED
 
-    def leave(self, server: str, born: int) -> bool:
-        """Take that a server has left; say whether it was the one that holds."""
+    def leave(self, server: str, born: int, now: float, wall: float) -> bool:
+        """Take that a server has left; say whether it was the one that holds.
+
+        This process may never have heard of it, and the server need not say which
+        incarnation has left (``born`` is 0 then).
+        """
+        if not born:
+            self._departed[server] = (now + DEPARTED_S, wall * _MS_PER_S)
         last = self._last
         if last is None or last.server != server or (born and born != last.born):
             self._former[(server, born)] = None
@@ -94,6 +107,14 @@
             cold_until=self.cold_until,
         )
 
+    def _has_departed(self, announcement: Announcement, now: float) -> bool:
+        """Say whether an announcement is of an incarnation that has left."""
+        until, left_ms = self._departed.get(announcement.server, (0.0, 0.0))
+        if now >= until:
+            self._departed.pop(announcement.server, None)
+            return False
+        return announcement.born <= left_ms
+
     def _forget(self, last: Announcement) -> None:
         self._former[(last.server, last.born)] = None
         while len(self._former) > MAX_FORMER:
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -114,8 +114,10 @@
 
     def lose_server(self, message: ServerLeft) -> None:
         """Take that the local server has left."""
-        if self._local.leave(message.server, message.born):
-            logger.bind(server=message.server).info("local server left")
+        now, wall = self.clock.now(), self.clock.wall()
+        is_known = self._local.leave(message.server, message.born, now, wall)
+        logger.bind(server=message.server, known=is_known).info("local server left")
+        if is_known:
             self._tell_guard()
             self._publish()
             self._tell_servers()
--- a/tests/test_decisions/test_announcements.py
+++ b/tests/test_decisions/test_announcements.py
@@ -2,7 +2,12 @@
 
 from dataclasses import replace
 
-from monsoontray.decisions.announcements import Announcement, Effect, LocalServer
+from monsoontray.decisions.announcements import (
+    DEPARTED_S,
+    Announcement,
+    Effect,
+    LocalServer,
+)
 from monsoontray.decisions.servers import ServerState
 
 FIRST = Announcement("i-1", "catalogue", "v1", 9, ServerState.SERVING, 2.0, 1000, 1)
@@ -45,7 +50,7 @@
 def test_heartbeats_behind_a_deregistration_do_not_hold():
     local = LocalServer()
     local.hear(FIRST, 0.0)
-    assert local.leave("i-1", 0)
+    assert local.leave("i-1", 0, 3.0, 2.0)
     assert local.build_record() is None
     assert local.hear(replace(FIRST, sequence=9), 1.0) is Effect.STALE
     assert local.hear(replace(FIRST, born=3000), 1.0) is Effect.CHANGED
@@ -54,6 +59,23 @@
 def test_the_deregistration_of_a_former_incarnation_leaves_the_present_one():
     local = LocalServer()
     local.hear(replace(FIRST, born=2000), 0.0)
-    assert not local.leave("i-1", 1000)
-    assert not local.leave("i-other", 0)
+    assert not local.leave("i-1", 1000, 3.0, 3.0)
+    assert not local.leave("i-other", 0, 3.0, 3.0)
     assert local.build_record() is not None
+
+
+def test_a_server_that_left_before_this_process_heard_of_it_stays_gone():
+    local = LocalServer()
+    assert not local.leave("i-1", 0, now=5.0, wall=2.0)
+    late = replace(FIRST, born=1000, sequence=7)
+    assert local.hear(late, 5.5) is Effect.STALE
+    assert local.hear(late, 5.0 + DEPARTED_S - 0.1) is Effect.STALE
+    assert local.build_record() is None
+
+
+def test_a_server_that_starts_again_under_its_name_is_heard():
+    local = LocalServer()
+    local.hear(FIRST, 4.0)
+    assert local.leave("i-1", 0, now=5.0, wall=2.0)
+    assert local.hear(replace(FIRST, born=2001, sequence=1), 6.0) is Effect.CHANGED
+    assert local.build_record().born == 2001
