Find a bad version within a tenth of the calls; count suspicions together

In a logged run one server after the other was suspected for 11 s, and the version was taken back after its period. Ruled out: slower news (the guards that suspect refuse by themselves); fewer servers in the last phase (each must bear its full load to show that a version is bad under it). Change: the phases begin at 40, 47, 54 percent of the period instead of 40, 52, 64; servers that were suspected one after the other count together. Tests: little_of_the_allowed_exposure and one_after_the_other fail before.

--- a/monsoontray/decisions/rollouts.py
+++ b/monsoontray/decisions/rollouts.py
@@ -54,11 +54,13 @@
     Phase.DONE: 1.0,
     Phase.ROLLED_BACK: 0.0,
 }
-#: The phase that follows, and the part of the period after which it does.
+#: The phase that follows, and the part of the period after which it does. When the
+#: last phase begins, the version has had less than 0.08 of the calls, so that one which
+#: is bad under full load only can still be found before it has had a tenth.
 _STEPS = {
     Phase.CANARY: (Phase.QUARTER, 0.40),
-    Phase.QUARTER: (Phase.HALF, 0.52),
-    Phase.HALF: (Phase.FULL, 0.64),
+    Phase.QUARTER: (Phase.HALF, 0.47),
+    Phase.HALF: (Phase.FULL, 0.54),
     Phase.FULL: (Phase.DONE, 0.80),
 }
 DECIDED = frozenset((Phase.DONE, Phase.ROLLED_BACK))
@@ -167,14 +169,16 @@
 ) -> bool:
     """Say whether the servers of a new version fail, unlike those of the old one.
 
-    Where the old version's fail as well, the version is given a second try: taking
-    back a good one costs less than leaving a bad one.
+    Servers that were suspected one after the other count together: a version that is
+    bad under load fails where the load is. Where the old version's fail as well, the
+    version is given a second try: taking back a good one costs less than leaving a
+    bad one.
     """
-    suspects = sum(each.suspected for each in new)
-    if not suspects:
+    if not any(each.suspected for each in new):
         return False
     tried = sum(1 for each in new if each.calls)
-    if suspects < min(SUSPECTS, tried):
+    struck = sum(1 for each in new if each.suspected or each.strikes)
+    if struck < min(SUSPECTS, tried):
         return False
     old_suspects = sum(each.suspected for each in old)
     if old_suspects * 2 <= len(old):
--- a/tests/test_decisions/test_rollouts.py
+++ b/tests/test_decisions/test_rollouts.py
@@ -7,6 +7,7 @@
 
 from monsoontray.decisions.rollouts import (
     MIN_EVIDENCE,
+    SHARES,
     SLOW_FACTOR,
     SUSPECTED_S,
     Phase,
@@ -18,6 +19,7 @@
     is_version_bad,
     select_servers,
 )
+from monsoontray.rollouts.service import CHECK_S
 from tests.test_decisions.test_servers import build_endpoint
 
 PLAN = Plan(7, "catalogue", "v2", 10.0, Phase.CANARY, 0.5)
@@ -176,3 +178,25 @@
     assert not blocks(Phase.ROLLED_BACK, "v1")
     assert not blocks(Phase.CANARY, "v2")
     assert not is_blocked(None, "v2")
+
+
+def test_little_of_the_allowed_exposure_is_used_before_the_last_phase():
+    plan = msgspec.structs.replace(PLAN, period_s=16.0)
+    elapsed_s, since, exposed = 0.0, 0.0, 0.0
+    while plan.phase is not Phase.FULL:
+        elapsed_s += CHECK_S
+        exposed += SHARES[plan.phase] * CHECK_S / plan.period_s
+        phase = decide_phase(plan, elapsed_s, elapsed_s - since, [NEW, NEW, OLD])
+        if phase is not plan.phase:
+            plan = msgspec.structs.replace(plan, phase=phase)
+            since = elapsed_s
+    # A version that turns out bad may get a tenth of all calls.
+    assert exposed < 0.08
+
+
+def test_servers_that_are_suspected_one_after_the_other_count_together():
+    suspect = replace(NEW, suspected=True, strikes=1)
+    earlier = replace(NEW, strikes=1)
+    assert is_version_bad([suspect, earlier, NEW], [OLD, OLD])
+    assert not is_version_bad([suspect, NEW, NEW], [OLD, OLD])
+    assert not is_version_bad([earlier, earlier, NEW], [OLD, OLD])
