--- a/monsoontray/forwarding/report.py
+++ b/monsoontray/forwarding/report.py
@@ -89,14 +89,17 @@
             return
         route = call.route
         loads, now = self._forwarder.loads, self._forwarder.now
+        tried = call.attempts.tried
+        # An attempt that was given up has left its server among those tried.
+        server = call.server or (tried[-1] if tried else "")
         self._write(
             text,
             call=call.call_id,
             side=get_side(route),
             route=route.name,
-            server=call.server,
-            tried=",".join(call.attempts.tried),
-            load_ms=loads.find_age_ms(call.server, now),
+            server=server,
+            tried=",".join(tried),
+            load_ms=loads.find_age_ms(server, now),
             ms=round((now - call.started) * 1000, 1),
             left_ms=round((route.deadline - now) * 1000),
             **fields,
--- a/tests/test_forwarding/test_report.py
+++ b/tests/test_forwarding/test_report.py
@@ -85,6 +85,15 @@
     assert (fields["version"], fields["ran"]) == (7, "not-run")
 
 
+def test_a_line_names_the_server_of_an_attempt_that_was_given_up(forwarder, lines):
+    call = build_call("a")
+    call.server = ""
+    call.attempts.tried.extend(["i-1", "i-2"])
+    Report(forwarder).refusal(refuse_unrun(Reason.DEADLINE_PASSED), call)
+    assert lines[0]["extra"]["server"] == "i-2"
+    assert lines[0]["extra"]["tried"] == "i-1,i-2"
+
+
 def test_a_line_says_how_old_the_news_of_the_server_was(forwarder, lines):
     forwarder.loads.hear("i-1", None, 0.0)
     forwarder.now = 0.25
