End a log line that was written in part; say objective in the field's words

Cause: read as the person on call would: a line that its reader took in part ran into the next one, which then was no JSON; the comments on the objective used the users' word. Change: such a line is ended before the next and counted; three comments. No decision changes.

--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -51,7 +51,7 @@
 
     deadline: float
     priority: int  # 0 goes first
-    objective: float = math.inf  # when its answer still has its full worth
+    objective: float = math.inf  # until when its answer counts as on time
     route: str = ""
 
 
--- a/monsoontray/forwarding/routes.py
+++ b/monsoontray/forwarding/routes.py
@@ -30,7 +30,7 @@
     idempotent: bool
     max_attempts: int
     deadline: float
-    objective: float = math.inf  # when the answer still has its full worth
+    objective: float = math.inf  # until when the answer counts as on time
 
 
 @dataclass(slots=True, frozen=True)
--- a/monsoontray/logs.py
+++ b/monsoontray/logs.py
@@ -49,7 +49,7 @@
         line = message.encode(errors="replace")
         for start in range(0, len(line), PIECE_BYTES):
             if not self._write_piece(line[start : start + PIECE_BYTES]):
-                self._unfinished = start > 0
+                self._unfinished = self._unfinished or start > 0
                 self.dropped += 1
                 return
 
@@ -58,9 +58,12 @@
         if not ready or not ready[0][1] & select.POLLOUT:
             return False
         try:
-            return os.write(self._descriptor, piece) == len(piece)
+            written = os.write(self._descriptor, piece)
         except OSError:
-            return False  # the reader has gone; there is nowhere to say so
+            return False  # nobody reads the log any more; the caller counts the line
+        if written < len(piece):
+            self._unfinished = True
+        return written == len(piece)
 
 
 def set_up_log(form: str, level: str, node: str, path: str) -> None:
--- a/tests/test_logs/test_logs.py
+++ b/tests/test_logs/test_logs.py
@@ -73,3 +73,17 @@
     sink.write("line\n")
     assert sink.dropped == 1
     os.close(writer)
+
+
+def test_a_line_that_was_written_in_part_is_ended_before_the_next(pipe, monkeypatch):
+    reader, writer = pipe
+    sink = OutputSink(writer)
+    write = os.write
+    monkeypatch.setattr(os, "write", lambda to, data: write(to, data[:3]))
+    sink.write("first\n")
+    monkeypatch.undo()
+    sink.write("after\n")
+    parts = read_all(reader).splitlines()
+    assert parts[0] == b"fir"
+    assert msgspec.json.decode(parts[1])["n"] == 1
+    assert parts[2] == b"after"
