Decide with the other decisions when an attempt gives way to another

Cause: read once more, the conditions under which a stuck or failed attempt is replaced stood in the forwarding task, between sockets and timers. Change: may_replace and may_take_over in decisions/retries.py, the same conditions; the task gives them what it knows. An attempt whose response has begun is excluded there too; its timer had been stopped before, so nothing changes.

--- a/monsoontray/decisions/retries.py
+++ b/monsoontray/decisions/retries.py
@@ -54,6 +54,34 @@
     return Refusal(reason, attempt.ran)
 
 
+def may_replace(
+    attempt: Attempt, needed_s: float, now: float, max_attempts: int, offers: int
+) -> bool:
+    """Decide whether an attempt without a usable answer may give way to another.
+
+    ``needed_s`` is the time that the other one should take, ``offers`` how many
+    attempts were made, whether or not a back end has seen them.
+    """
+    has_run = attempt.ran is not Ran.NOT_RUN
+    if attempt.response_started or not attempt.body_kept:
+        return False
+    if has_run and not attempt.idempotent:
+        return False
+    sends = attempt.number if has_run else attempt.number - 1
+    if sends >= max_attempts or offers >= MAX_OFFERS:
+        return False
+    return now + needed_s < attempt.deadline
+
+
+def may_take_over(is_avoided: bool, has_room: bool, has_answer: bool) -> bool:
+    """Decide whether a server is likely to take a call that is given up elsewhere.
+
+    An attempt that may still be answered is left for a free slot only: when all
+    servers are behind, the call would lose its place and be refused.
+    """
+    return not is_avoided and (has_answer or has_room)
+
+
 MAX_OFFERS = 6  # guards that a call is offered to while none has taken it
 #: How sure it is that a call ran, in rising order.
 _CERTAINTY = {Ran.NOT_RUN: 0, Ran.REJECTED: 1, Ran.UNKNOWN: 2}
--- a/monsoontray/forwarding/replacing.py
+++ b/monsoontray/forwarding/replacing.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING
 
 from monsoontray.decisions.outcomes import Ran, Reason
-from monsoontray.decisions.retries import MAX_OFFERS, Retry
+from monsoontray.decisions.retries import (
+    Attempt,
+    Retry,
+    may_replace,
+    may_take_over,
+)
 from monsoontray.forwarding.attempts import choose_next, start_at
 from monsoontray.forwarding.routes import EntryRoute
 
@@ -40,26 +45,35 @@
 
     ``needed_s`` is the time that it should take.
     """
-    route, attempts, now = call.route, call.attempts, call.now
-    refusal = call.qualify(reason)
-    has_run = refusal.ran is not Ran.NOT_RUN
-    if not isinstance(route, EntryRoute) or not call.request.is_repeatable:
-        return False
-    if has_run and not route.idempotent:
+    route, attempts, loads = call.route, call.attempts, call.forwarder.loads
+    if not isinstance(route, EntryRoute):
         return False
-    sends = attempts.sends + (1 if has_run else 0)
-    if sends >= route.max_attempts or attempts.offers >= MAX_OFFERS:
-        return False
-    if now + needed_s >= route.deadline:
+    refusal = call.qualify(reason)
+    attempt = Attempt(
+        route.idempotent,
+        attempts.sends + 1,
+        route.deadline,
+        refusal.ran,
+        call.response_started,
+        call.request.is_repeatable,
+    )
+    if not may_replace(
+        attempt, needed_s, call.now, route.max_attempts, attempts.offers
+    ):
         return False
     endpoint = choose_next(route, call)
-    if endpoint is None or not _may_take_over(call, endpoint.server):
+    if endpoint is None or not may_take_over(
+        loads.is_avoided(endpoint.server, call.now),
+        loads.has_room(endpoint.server),
+        call.held is not None,
+    ):
         return False
+    has_run = refusal.ran is not Ran.NOT_RUN
     if has_run and not call.try_budget():
         return False
     if call.held is None:
         call.note_unfinished()
-        call.forwarder.loads.note_outcome(call.server, True)
+        loads.note_outcome(call.server, True)
     else:
         call.note_outcome(True)
     call.request.drop()
@@ -68,15 +82,3 @@
     attempts.offers += 1
     start_at(endpoint, route, call)
     return True
-
-
-def _may_take_over(call: Call, server: str) -> bool:
-    """Say whether a server is likely to take a call that is given up elsewhere.
-
-    An attempt that may still be answered is left for a free slot only: when all
-    servers are behind, the call would lose its place and be refused.
-    """
-    loads = call.forwarder.loads
-    if loads.is_avoided(server, call.now):
-        return False
-    return call.held is not None or loads.has_room(server)
--- a/tests/test_decisions/test_retries.py
+++ b/tests/test_decisions/test_retries.py
@@ -4,10 +4,13 @@
 
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal
 from monsoontray.decisions.retries import (
+    MAX_OFFERS,
     Abandon,
     Attempt,
     Retry,
     decide_after_failure,
+    may_replace,
+    may_take_over,
 )
 
 ATTEMPT = Attempt(True, 1, 10.0, Ran.UNKNOWN, response_started=False, body_kept=True)
@@ -41,3 +44,31 @@
 
 def test_an_response_that_has_begun_is_cut():
     assert decide(replace(ATTEMPT, response_started=True)) == Abandon(LOST)
+
+
+def may(attempt, needed_s=1.0, now=0.0, offers=1):
+    return may_replace(attempt, needed_s, now, 2, offers)
+
+
+def test_a_stuck_attempt_gives_way_within_attempts_offers_and_time():
+    assert may(ATTEMPT)
+    assert not may(replace(ATTEMPT, number=2))
+    assert not may(ATTEMPT, offers=MAX_OFFERS)
+    assert not may(ATTEMPT, now=9.0)
+    assert not may(replace(ATTEMPT, body_kept=False))
+    assert not may(replace(ATTEMPT, response_started=True))
+
+
+def test_a_stuck_order_gives_way_only_if_it_certainly_did_not_run():
+    order = replace(ATTEMPT, idempotent=False)
+    assert not may(order)
+    assert may(replace(order, ran=Ran.NOT_RUN))
+    assert may(replace(order, ran=Ran.NOT_RUN, number=2))
+    assert not may(replace(order, ran=Ran.NOT_RUN, number=3))
+
+
+def test_a_call_that_may_still_be_answered_moves_to_a_free_slot_only():
+    assert may_take_over(is_avoided=False, has_room=True, has_answer=False)
+    assert not may_take_over(is_avoided=False, has_room=False, has_answer=False)
+    assert may_take_over(is_avoided=False, has_room=False, has_answer=True)
+    assert not may_take_over(is_avoided=True, has_room=True, has_answer=True)
