Wait in tests until a paused process stands still

Change: pause_process waits for the kernel's word that all threads are stopped. The check and its bounds are as they were.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,8 +1,10 @@
-"""Read what the operating system accounts to a process."""
+"""Read what the operating system accounts to a process; pause one."""
 
 from __future__ import annotations
 
 import os
+import signal
+from subprocess import Popen
 
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 KB_PER_MB = 1024.0
@@ -30,6 +32,16 @@
     return int(_read_status(pid, "Threads:"))
 
 
+def pause_process(process: Popen[bytes]) -> None:
+    """Stop a child process where it is, and wait until all its threads stand still.
+
+    A signal is delivered when the process runs next: until then it goes on for up to
+    some milliseconds.
+    """
+    process.send_signal(signal.SIGSTOP)
+    os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
+
+
 def _read_status(pid: int, name: str) -> float:
     with open(f"/proc/{pid}/status") as status:
         for line in status:
--- a/tests/test_configuration/test_versions.py
+++ b/tests/test_configuration/test_versions.py
@@ -10,6 +10,7 @@
 
 from bench.fleet import Fleet
 from bench.lists import build_customer, build_lists, build_plan, build_route
+from bench.processes import pause_process
 from tests.fleets import TOKEN, ZONES, call
 
 
@@ -116,7 +117,7 @@
     paused = [node for node in fleet.nodes if node.name in watching]
     running = [node for node in fleet.nodes if node.name not in watching]
     for node in paused:
-        node.process.send_signal(signal.SIGSTOP)
+        pause_process(node.process)
     index = fleet.nodes.index(running[0])
     for number in (2, 3):
         assert propose(fleet, number, index) == "accepted"
--- a/tests/test_platform/test_mesh_faults.py
+++ b/tests/test_platform/test_mesh_faults.py
@@ -6,6 +6,7 @@
 
 from bench.caller import Router
 from bench.mesh import build_configuration, build_mesh_request
+from bench.processes import pause_process
 from tests.meshes import ORDER, READ, call, count_runs, start
 
 
@@ -65,8 +66,8 @@
         assert call(mesh.nodes[0], f"/read/{i}", f"a{i}").status == 200
     frozen = mesh.nodes[1].handle.process
     backend = mesh.nodes[1].backend.process
-    frozen.send_signal(signal.SIGSTOP)
-    backend.send_signal(signal.SIGSTOP)
+    pause_process(frozen)
+    pause_process(backend)
     try:
         for i in range(30):
             response = call(mesh.nodes[0], f"/read/{i}", f"z{i}", X_Deadline_Ms="2000")
@@ -87,7 +88,7 @@
     for i in range(10):
         assert call(entry, f"/read/{i}", f"r{i}").status == 200
     frozen = mesh.nodes[1].handle.process
-    frozen.send_signal(signal.SIGSTOP)
+    pause_process(frozen)
     try:
         for i in range(10):
             order = call(entry, f"/order/{i}", f"o{i}", "POST", b"x" * 100)
