Let one node a zone read the store for a large fleet

Ruled out: fewer watches with longer waits (does not lower the bytes; a silent watch is found later); whole configurations compressed (a reader with 11 Mbit/s would send 1.1 MB/s to its zone). Change: in a fleet of more than read_by_all nodes the node with the fastest link of each zone reads the store. The others ask it for news, which it holds back until there is some for 0.6 s, and get large records by their difference from the version that they know. A reader that is silent, or that the store does not serve, is left out for 5 s; after two such a node reads the store itself. Smaller fleets work as before.

--- a/monsoontray/decisions/directory.py
+++ b/monsoontray/decisions/directory.py
@@ -35,6 +35,7 @@
     incarnation: int  # nanoseconds since the epoch at which the process started
     stopping: bool
     server: ListedServer | None
+    link_mbps: float = 0.0  # what the VM's own link carries; 0 where it is not known
 
 
 class NodeDirectory:
@@ -91,6 +92,10 @@
         """Return every node that is or was listed."""
         return tuple(self._nodes.values())
 
+    def get_listed(self) -> tuple[ListedNode, ...]:
+        """Return the nodes that the store lists."""
+        return tuple(n for name, n in self._nodes.items() if self.is_listed(name))
+
     def build_table(self) -> ServerTable:
         """Return the servers that may be called."""
         return ServerTable(
--- a/monsoontray/discovery/messages.py
+++ b/monsoontray/discovery/messages.py
@@ -57,9 +57,24 @@
 
 @dataclass(slots=True, frozen=True)
 class ReadMirror:
-    """Ask for a copy of what was last read from the store, if later than known."""
+    """Ask for what was read from the store since a revision."""
 
     known_revision: int
+    deadline: float  # until when an answer without news is held back
+    reply: Reply
+
+
+@dataclass(slots=True, frozen=True)
+class StoreServed:
+    """Tell whether the store serves this node, which reads it itself."""
+
+    is_served: bool
+
+
+@dataclass(slots=True, frozen=True)
+class PlanReading:
+    """Ask how this node is to read the store."""
+
     reply: Reply
 
 
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -4,6 +4,7 @@
 
 import time
 from functools import singledispatch
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -11,9 +12,11 @@
 
 from monsoontray.decisions.announcements import Effect, LocalServer
 from monsoontray.decisions.directory import ListedNode, ListedServer, NodeDirectory
-from monsoontray.decisions.servers import ServerState
+from monsoontray.decisions.servers import Place, ServerState
+from monsoontray.decisions.sources import Reading, plan_reading
 from monsoontray.discovery.messages import (
     DescribeDiscovery,
+    PlanReading,
     PublishNode,
     ServerAnnounced,
     ServerLeft,
@@ -52,6 +55,10 @@
         self._directory = NodeDirectory()
         self._local = LocalServer()
         self._stopping = False
+        self._random = Random(self._node)
+        self._place = Place(
+            self._node, settings.get_text("region"), settings.get_text("zone")
+        )
 
     def open(self) -> None:
         """Make the node known."""
@@ -128,6 +135,12 @@
         self._stopping = True
         self._publish()
 
+    def plan_reading(self) -> Reading:
+        """Decide how this node reads the store."""
+        listed = self._directory.get_listed()
+        read_by_all = self._settings.get_number("read_by_all")
+        return plan_reading(self._place, listed, read_by_all, self._random)
+
     def _describe(self) -> ListedNode:
         record = self._local.build_record()
         server = None
@@ -143,13 +156,14 @@
             )
         return ListedNode(
             node=self._node,
-            region=self._settings.get_text("region"),
-            zone=self._settings.get_text("zone"),
+            region=self._place.region,
+            zone=self._place.zone,
             guard_address=self._settings.get_text("guard_address"),
             peer_address=self._settings.get_text("peer_address"),
             incarnation=self._incarnation,
             stopping=self._stopping,
             server=server,
+            link_mbps=self._settings.get_float("link_mbps"),
         )
 
     def _publish(self) -> None:
@@ -220,6 +234,11 @@
     message.reply.put(discovery._directory.get_nodes())
 
 
+@handle_message.register(PlanReading)
+def _(message: PlanReading, discovery: Discovery) -> None:
+    message.reply.put(discovery.plan_reading())
+
+
 def setup(kernel: Kernel) -> None:
     """Register the service."""
     requires = ("settings", "publisher")
--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -12,12 +12,14 @@
 from cherrypy._cpwsgi_server import CPWSGIServer
 from loguru import logger
 
+from monsoontray.discovery.copies import Copy, encode_copy
 from monsoontray.discovery.messages import (
     DescribeDiscovery,
     ReadMirror,
     ServerAnnounced,
     ServerLeft,
 )
+from monsoontray.discovery.mirror import MAX_WAITING
 from monsoontray.forwarding.messages import DescribeForwarding, ForwardingState
 from monsoontray.kernel.errors import KernelError
 from monsoontray.kernel.kernel import Kernel, Registration
@@ -32,6 +34,11 @@
 
 NAME = "endpoint"
 THREADS = 2  # of each server; heartbeats come about once a second
+#: Of the server for other nodes: for those whose questions are held back, and a few.
+PEER_THREADS = MAX_WAITING + 4
+MAX_WAIT_S = 2.0  # that a question is held back
+MS_PER_S = 1000
+NOTHING_KNOWN = -1  # a revision before all others
 STOP_TIMEOUT_S = 0.2  # for requests that are being answered at a stop
 ASK_TIMEOUT_S = 0.8  # the platform waits a second for an answer
 MAX_BODY_BYTES = 65_536
@@ -80,10 +87,17 @@
         return rendered
 
     @cherrypy.expose
-    def mirror(self, known: str = "") -> bytes:
-        """Return the copy of the store, for a node that it does not serve."""
-        revision = int(known) if known.isdecimal() else 0
-        return _write(self._ask("mirror", lambda reply: ReadMirror(revision, reply)))
+    def mirror(self, known: str = "", wait: str = "") -> bytes:
+        """Return what was read from the store since a revision, for another node."""
+        revision = int(known) if known.isdecimal() else NOTHING_KNOWN
+        wait_ms = int(wait) if wait.isdecimal() else 0
+        held_until = self._kernel.clock.now() + min(wait_ms / MS_PER_S, MAX_WAIT_S)
+        copy: Copy = self._kernel.ask(
+            "mirror",
+            lambda reply: ReadMirror(revision, held_until, reply),
+            held_until + ASK_TIMEOUT_S,
+        )
+        return encode_copy(copy)
 
     @cherrypy.expose
     def evidence(self) -> bytes:
@@ -112,6 +126,7 @@
         self._addresses = {
             settings.get_bind_address(name) for name in names if settings.get_text(name)
         }
+        self._peer_address = settings.get_bind_address("peer_address")
         self._endpoint = Endpoint(kernel)
         self._servers: list[CPWSGIServer] = []
 
@@ -130,7 +145,9 @@
         cherrypy.tree.mount(self._endpoint, "/", as_sent)
         # CherryPy's engine would wait a tenth of a second for each of them.
         for address in self._addresses:
-            server = CPWSGIServer(_build_adapter(address))
+            is_for_peers = address == self._peer_address
+            threads = PEER_THREADS if is_for_peers else THREADS
+            server = CPWSGIServer(_build_adapter(address, threads))
             server.prepare()
             self._servers.append(server)
             name = f"{NAME}-{address.port}"
@@ -146,11 +163,11 @@
         raise TypeError(f"the endpoint takes no messages: {message!r}")
 
 
-def _build_adapter(address: Address) -> Server:
+def _build_adapter(address: Address, threads: int) -> Server:
     adapter = Server()
     adapter.socket_host = address.host
     adapter.socket_port = address.port
-    adapter.thread_pool = THREADS
+    adapter.thread_pool = threads
     adapter.max_request_body_size = MAX_BODY_BYTES
     adapter.shutdown_timeout = STOP_TIMEOUT_S
     return adapter
--- a/monsoontray/settings/declarations.py
+++ b/monsoontray/settings/declarations.py
@@ -341,6 +341,24 @@
         least=100,
         most=300_000,
     ),
+    Declaration(
+        "read_by_all",
+        int,
+        "Nodes up to which each reads the platform's store itself; in a larger fleet "
+        "one node a zone does, and the others read through it.",
+        default=24,
+        least=1,
+        most=100_000,
+    ),
+    Declaration(
+        "link_mbps",
+        float,
+        "What the VM's link carries; nodes with fast links read the store for others.",
+        default=0.0,
+        unit="Mbit/s",
+        least=0,
+        most=1_000_000,
+    ),
     Declaration(
         "watch_lease_ms",
         int,
