Add a randomized soak of the real programs

Change: bench/soak draws faults from a seed (nodes and back ends killed, paused, stopped; back ends that misbehave; zones cut, silenced, delayed or cut one way by the proxy; a store that misbehaves; orders), keeps callers on their connections and checks TWICE, REFUSED, MIXED, LOST, DRAIN, CONFIG and the recovery. The proxy learns one-way and delay. Clocks are not stepped: that needs rights which the product must not have.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 import sys
 import time
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import fire
 import msgspec
@@ -14,8 +14,12 @@
 from bench.options import OptionsError, build_options, describe_run
 from bench.processes import compute_steal_percent, read_steal_ticks
 
+if TYPE_CHECKING:
+    from bench.soak.runner import SoakResult
+
 RESULTS = Path(__file__).parent / "results"
 EXIT_BAD_ARGUMENTS = 2
+EXIT_BROKEN = 1
 
 
 class Commands:
@@ -58,6 +62,20 @@
                 results.write(line + "\n")
         print(line if json else _render(result))
 
+    def soak(
+        self, seed: int = 1, seeds: int = 1, nodes: int = 6, duration_s: float = 15.0
+    ) -> None:
+        """Bring random faults about and check the promises, seed by seed."""
+        from bench.soak.runner import run_soak
+
+        failed = 0
+        for each in range(seed, seed + seeds):
+            result = run_soak(each, nodes, duration_s)
+            print(_render_soak(result), flush=True)
+            failed += bool(result.broken)
+        print(f"{seeds} seeds, {failed} with something broken")
+        sys.exit(EXIT_BROKEN if failed else 0)
+
     def demo(self) -> None:
         """Show the main job on this machine."""
         from bench.demo import run_demo
@@ -65,6 +83,15 @@
         sys.exit(run_demo())
 
 
+def _render_soak(result: SoakResult) -> str:
+    state = "broken" if result.broken else "kept"
+    line = (
+        f"seed {result.seed}: {state}, {result.calls} calls, served {result.served}, "
+        f"{result.faults} faults, logs in {result.directory}"
+    )
+    return "\n  ".join((line, *result.broken))
+
+
 def _render(result: dict[str, Any]) -> str:
     width = max(len(name) for name in result)
     return "\n".join(f"{name:{width}}  {value}" for name, value in result.items())
--- a/bench/caller.py
+++ b/bench/caller.py
@@ -32,9 +32,9 @@
 class Router:
     """Own one keep-alive connection to an address."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, timeout_s: float = TIMEOUT_S) -> None:
         host, _, port = address.rpartition(":")
-        self._sock = socket.create_connection((host, int(port)), TIMEOUT_S)
+        self._sock = socket.create_connection((host, int(port)), timeout_s)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def call(self, request: bytes) -> Response:
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -55,14 +55,14 @@
         return node
 
     def start_server(
-        self, node: MeshNode, name: str, version: str = "v1"
+        self, node: MeshNode, name: str, version: str = "v1", *flags: str
     ) -> BackendHandle:
         """Start the back end beside a node."""
         fleet = self.fleet
         process = fleet.start_process(
             name, "-m", "bench.standins.mesh", f"--name={name}",
             f"--service={node.service}", f"--port={node.server_port}",
-            f"--node={node.handle.operator}", f"--version={version}",
+            f"--node={node.handle.operator}", f"--version={version}", *flags,
         )  # fmt: skip
         address = f"127.0.0.1:{node.server_port}"
         node.backend = BackendHandle(name, node.service, address, process)
--- a/bench/proxy.py
+++ b/bench/proxy.py
@@ -18,6 +18,7 @@
 from aiohttp import web
 
 PART_BYTES = 65_536
+DELAY_S = 0.15  # a detour around half the world
 LOOK_UP_INTERVAL_S = 0.1  # connections that open meanwhile are looked up together
 ANY = "*"
 _SOCKET_TABLES = (
@@ -46,7 +47,9 @@
 
     source: str  # a label, or ANY
     target: str  # a label or a link's name, or ANY
-    action: str  # pass, cut, silence (new ones too) or silence-established
+    #: pass, cut, silence (new ones too), one-way (answers alone are silenced), delay
+    #: or silence-established
+    action: str
 
 
 @dataclass(slots=True)
@@ -71,6 +74,8 @@
     writers: list[asyncio.StreamWriter]
     source: str | None = None  # label of that process, once it was looked up
     open_gate: asyncio.Event = field(default_factory=asyncio.Event)
+    back_gate: asyncio.Event = field(default_factory=asyncio.Event)  # for answers
+    delay_s: float = 0.0
     silenced_for_good: bool = False
 
 
@@ -179,22 +184,25 @@
         towards_target: bool,
     ) -> None:
         """Pass bytes in one direction."""
+        gate = passage.open_gate if towards_target else passage.back_gate
         while data := await reader.read(PART_BYTES):
-            await passage.open_gate.wait()
+            if passage.delay_s:
+                await asyncio.sleep(passage.delay_s)
+            await gate.wait()
             if towards_target:
                 passage.link.bytes_in += len(data)
             else:
                 passage.link.bytes_out += len(data)
             writer.write(data)
             await writer.drain()
-        await passage.open_gate.wait()
+        await gate.wait()
         with contextlib.suppress(OSError):
             writer.write_eof()
 
     def rule_soon(self, passage: Passage) -> None:
         """Pass a connection, or hold it until its process was looked up."""
         if not self.rules:
-            passage.open_gate.set()
+            self.apply_action(passage, "pass")
             return
         self.unruled.append(passage)
         if self.look_up is None:
@@ -220,10 +228,10 @@
         if action == "cut":
             for writer in passage.writers:
                 writer.transport.abort()
-        elif action == "silence":
-            passage.open_gate.clear()
-        else:
-            passage.open_gate.set()
+            return
+        passage.delay_s = DELAY_S if action == "delay" else 0.0
+        _set_gate(passage.open_gate, action != "silence")
+        _set_gate(passage.back_gate, action not in ("silence", "one-way"))
 
     def silence_established(self, key: tuple[str, str]) -> None:
         """Silence the connections that are open now, for good."""
@@ -232,6 +240,7 @@
             if _matches(passage, key):
                 passage.silenced_for_good = True
                 passage.open_gate.clear()
+                passage.back_gate.clear()
 
     def find_action(self, passage: Passage) -> str:
         """Return what the rules say of a connection."""
@@ -251,6 +260,13 @@
             passage.source = labels.get(inodes.get(passage.ports, ""), "")
 
 
+def _set_gate(gate: asyncio.Event, is_open: bool) -> None:
+    if is_open:
+        gate.set()
+    else:
+        gate.clear()
+
+
 def _matches(passage: Passage, key: tuple[str, str]) -> bool:
     source, target = key
     link = passage.link
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against real processes, with the promises checked from outside."""
--- /dev/null
+++ b/bench/soak/runner.py
@@ -0,0 +1,223 @@
+"""Run a soak: start the processes, bring about the faults, check the promises."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from pathlib import Path
+from typing import Any
+
+from loguru import logger
+
+from bench.caller import CutResponseError, Router
+from bench.fleet import Fleet, FleetError
+from bench.mesh import (
+    Mesh,
+    MeshNode,
+    build_configuration,
+    build_mesh_request,
+    build_route,
+)
+from bench.soak.callers import Caller
+from bench.soak.checks import check_outcomes
+from bench.soak.faults import begin_fault, finish_fault
+from bench.soak.plan import KillNode, SoakFault, StopNode, draw_faults
+
+READ = build_route("/read/", "one")
+ORDER = build_route("/order/", "one", kind="non_idempotent")
+CALLERS_PER_NODE = 2
+RECOVER_S = 15.0  # after the last fault, as on the platform
+CALLS_IN_A_ROW = 5  # that a node answers once it has recovered
+STOP_NOTICE_MS = 1_000
+STOP_LIMIT_S = 25.0  # the limit of a node's own grace, and some seconds
+
+
+@dataclass(slots=True, frozen=True)
+class SoakResult:
+    """Hold what a soak has shown."""
+
+    seed: int
+    broken: list[str]
+    calls: int
+    served: float
+    faults: int
+    directory: Path  # of the logs
+
+
+@dataclass(slots=True)
+class Soak:
+    """Own the mesh of one soak; one thread begins and ends all faults."""
+
+    mesh: Mesh
+    zones: int
+    newest: list[int] = field(default_factory=lambda: [0])
+    disturbed: list[tuple[float, float]] = field(default_factory=list)
+    _names: Iterator[int] = field(default_factory=count)
+
+    @property
+    def runs_file(self) -> Path:
+        """Return where the back ends write what they run."""
+        return self.mesh.fleet.directory / "runs"
+
+    def start(self, nodes: int, read_by_all: int) -> None:
+        """Start store, proxy, nodes and servers."""
+        fleet = self.mesh.fleet
+        fleet.start_store()
+        fleet.start_proxy()
+        self.configure()
+        for i in range(nodes):
+            settings = {"read_by_all": read_by_all, "stop_notice_ms": STOP_NOTICE_MS}
+            zone = f"zone-{i % self.zones}"
+            self.start_server(self.mesh.add_node(f"node-{i}", zone, "one", **settings))
+        fleet.label_processes()
+        self.mesh.wait_for_servers(nodes)
+        for node in self.mesh.nodes:
+            self.wait_until_served(node)
+
+    def start_server(self, node: MeshNode) -> None:
+        """Start a new incarnation of a node's server."""
+        name = f"i-{next(self._names)}"
+        self.mesh.start_server(node, name, "v1", f"--runs_file={self.runs_file}")
+
+    def kill_server(self, node: MeshNode) -> None:
+        """Kill a node's server."""
+        assert node.backend is not None
+        node.backend.process.kill()
+        node.backend.process.wait()
+
+    def restart_node(self, node: MeshNode) -> None:
+        """Start a node again once its process has ended."""
+        assert node.handle.process is not None
+        node.handle.process.wait(STOP_LIMIT_S)
+        self.mesh.fleet.start_node(node.handle)
+        self.mesh.fleet.label_processes()
+
+    def configure(self) -> None:
+        """Order a configuration with one more route."""
+        number = self.newest[0] + 1
+        routes = [build_route(f"/v{n + 1}/", "one") for n in range(number)]
+        self.mesh.order("op/config", build_configuration(number, READ, ORDER, *routes))
+        self.newest[0] = number
+
+    def control_store(self, **behaviour: Any) -> None:
+        """Set how the store behaves."""
+        fleet = self.mesh.fleet
+        fleet.post_json(fleet.store_address, "/control", behaviour)
+
+    def set_zone_rule(self, zone: str, rule: str) -> None:
+        """Set what passes between a zone, the others and the store."""
+        for other in (*(f"zone-{i}" for i in range(self.zones)), "store"):
+            if other != zone:
+                self.mesh.fleet.set_rule(zone, other, rule)
+                self.mesh.fleet.set_rule(other, zone, rule)
+
+    def play(self, faults: tuple[SoakFault, ...], duration_s: float) -> None:
+        """Bring about the faults, each at its time, and end all of them."""
+        started = time.monotonic()
+        steps: list[tuple[float, int, SoakFault, bool]] = []
+        order = count()
+        for fault in faults:
+            heappush(steps, (fault.at_s, next(order), fault, True))
+        active: set[tuple[str, int]] = set()
+        pause = threading.Event()
+        while steps:
+            at_s, _, fault, begins = heappop(steps)
+            pause.wait(max(0.0, started + at_s - time.monotonic()))
+            if begins and fault.subject in active:
+                continue
+            logger.info("{} {} {}", "begin" if begins else "end", at_s, fault)
+            node = self.mesh.nodes[fault.target]
+            if begins:
+                active.add(fault.subject)
+                begun = time.monotonic()
+                begin_fault(fault.action, self, node)
+                end_s = at_s + fault.for_s
+                heappush(steps, (end_s, next(order), fault, False))
+                if not fault.is_planned:
+                    self.disturbed.append((begun, begun + fault.for_s))
+            else:
+                finish_fault(fault.action, self, node)
+                active.discard(fault.subject)
+        pause.wait(max(0.0, started + duration_s - time.monotonic()))
+
+    def wait_until_served(self, node: MeshNode) -> None:
+        """Wait until a node answers calls on the newest route."""
+        name = node.handle.name
+        self.mesh.fleet.wait_for(lambda: self._is_served(node), name, RECOVER_S)
+
+    def _is_served(self, node: MeshNode) -> bool:
+        path = f"/v{self.newest[0]}/probe"
+        try:
+            router = Router(node.handle.entry, 1.0)
+            try:
+                calls = range(CALLS_IN_A_ROW)
+                requests = [build_mesh_request(path, f"probe-{n}") for n in calls]
+                return all(router.call(each).status == 200 for each in requests)
+            finally:
+                router.close()
+        except (OSError, CutResponseError):
+            return False
+
+    def find_ended(self, faults: tuple[SoakFault, ...]) -> list[str]:
+        """Return the nodes whose processes ended without being told to."""
+        told = {f.target for f in faults if f.action in (KillNode(), StopNode())}
+        return [
+            f"ENDED: {node.handle.name} ended by itself"
+            for i, node in enumerate(self.mesh.nodes)
+            if i not in told
+            and node.handle.process is not None
+            and node.handle.process.poll() is not None
+        ]
+
+
+def run_soak(
+    seed: int, nodes: int = 6, duration_s: float = 15.0, zones: int = 3
+) -> SoakResult:
+    """Run the soak of a seed and return what it has shown."""
+    faults = draw_faults(seed, duration_s, nodes)
+    with Fleet() as fleet:
+        soak = Soak(Mesh(fleet), min(zones, nodes))
+        # Every second seed has a large fleet's readers of the store.
+        soak.start(nodes, read_by_all=24 if seed % 2 else 2)
+        callers = [
+            Caller(node, f"{node.handle.name}-{i}", soak.newest, seed * 1000 + i)
+            for node in soak.mesh.nodes
+            for i in range(CALLERS_PER_NODE)
+        ]
+        for caller in callers:
+            caller.start()
+        broken = []
+        soak.play(faults, duration_s)
+        for node in soak.mesh.nodes:
+            try:
+                soak.wait_until_served(node)
+            except FleetError as error:
+                broken.append(f"RECOVER: {error}")
+        for caller in callers:
+            caller.end()
+        broken += soak.find_ended(faults)
+        runs, late = read_runs(soak.runs_file)
+    outcomes = [each for caller in callers for each in caller.outcomes]
+    broken += check_outcomes(outcomes, runs, late, soak.disturbed)
+    served = sum(each.status == 200 for each in outcomes) / max(1, len(outcomes))
+    return SoakResult(
+        seed, broken, len(outcomes), round(served, 3), len(faults), fleet.directory
+    )
+
+
+def read_runs(path: Path) -> tuple[Counter[str], list[str]]:
+    """Return how often each call ran, and those that came too late."""
+    runs: Counter[str] = Counter()
+    late = []
+    for line in path.read_text().splitlines() if path.exists() else ():
+        event, _, call_id = line.partition(" ")
+        if event == "run":
+            runs[call_id] += 1
+        else:
+            late.append(call_id)
+    return runs, late
--- a/bench/standins/mesh.py
+++ b/bench/standins/mesh.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -15,6 +16,7 @@
 HEARTBEAT_INTERVAL_S = 0.2  # faster than on the platform, for short tests
 MS_PER_S = 1000
 SILENT_S = 60.0  # longer than any test
+DRAIN_S = 2.0  # for which a server that leaves may still be used, as on the platform
 SEAL = "X-Response-Seal"
 CALL_ID = "X-Request-Id"
 EXTRA_ANSWER = (
@@ -55,7 +57,13 @@
     """Serve requests and announce itself to the node on its VM."""
 
     def __init__(
-        self, name: str, service: str, version: str, node: str, address: str
+        self,
+        name: str,
+        service: str,
+        version: str,
+        node: str,
+        address: str,
+        runs_file: str = "",
     ) -> None:
         self.name = name
         self.node = node
@@ -70,6 +78,11 @@
         self.sequence = 0
         self.behaviour = Behaviour()
         self.observed = Observed()
+        self.left_at: float | None = None  # when its leaving was acknowledged
+        self._runs = -1  # descriptor of a file of runs, which outlives the process
+        if runs_file:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+            self._runs = os.open(runs_file, flags, 0o600)
 
     def build_application(self) -> web.Application:
         """Return the application."""
@@ -104,8 +117,9 @@
                     "cold_left_s": self.behaviour.cold_left_s,
                 }
                 try:
-                    async with session.post(url, json=body):
-                        pass
+                    async with session.post(url, json=body) as response:
+                        if body["state"] == "draining" and response.status == 200:
+                            self.left_at = self.left_at or time.monotonic()
                 except (ClientError, TimeoutError, OSError):
                     pass
                 await asyncio.sleep(HEARTBEAT_INTERVAL_S)
@@ -132,6 +146,9 @@
         if behaviour.shed:
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
         call_id = headers.get(CALL_ID, "")
+        self._record("run", call_id)
+        if self.left_at is not None and time.monotonic() > self.left_at + DRAIN_S:
+            self._record("late", call_id)
         self.observed.runs[call_id] += 1
         self.observed.callers[headers.get("X-Caller-Service", "")] += 1
         self.observed.deadlines_ms.append(int(headers.get("X-Deadline-Ms", 0)))
@@ -157,6 +174,10 @@
             return await self._truncate(request, answer, content)
         return web.Response(status=status, headers=answer, body=content)
 
+    def _record(self, event: str, call_id: str) -> None:
+        if self._runs >= 0:
+            os.write(self._runs, f"{event} {call_id}\n".encode())
+
     async def _truncate(
         self, request: web.Request, headers: dict[str, Any], content: bytes
     ) -> web.StreamResponse:
@@ -171,10 +192,10 @@
 
 def run(
     name: str, service: str, port: int, node: str, version: str = "v1",
-    host: str = "127.0.0.1",
+    host: str = "127.0.0.1", runs_file: str = "",
 ) -> None:  # fmt: skip
     """Serve until told to stop."""
-    server = MeshServer(name, service, str(version), node, f"{host}:{port}")
+    server = MeshServer(name, service, str(version), node, f"{host}:{port}", runs_file)
     web.run_app(
         server.build_application(),
         host=host,
--- /dev/null
+++ b/tests/test_bench/test_soak.py
@@ -0,0 +1,98 @@
+"""The soak's plans and checks, and a short soak of real processes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from bench.soak.callers import CUT, Outcome
+from bench.soak.checks import SETTLED_S, check_outcomes
+from bench.soak.plan import GROUPS, PLANNED_ONLY, draw_faults
+from bench.soak.runner import read_runs, run_soak
+
+#: Seeds that once showed something broken, each with a line on its cause.
+REGRESSIONS: tuple[int, ...] = ()
+
+ORDER = Outcome(
+    "o1", "/order/o1", 200, True, "node-0", 7, 1.0, 1.2, 200,
+    "seal-of-i-0", "o1", b"i-0 /order/o1 200",
+)  # fmt: skip
+
+
+def check(*outcomes, runs=("o1",), late=(), disturbed=()):
+    found = check_outcomes(outcomes, Counter(runs), late, disturbed)
+    return [each.partition(":")[0] for each in found]
+
+
+def test_a_true_answer_breaks_nothing():
+    assert check(ORDER) == []
+
+
+@pytest.mark.parametrize(
+    ("changes", "runs", "rule"),
+    [
+        ({}, ("o1", "o1"), "TWICE"),
+        ({"status": 503}, ("o1",), "REFUSED"),
+        ({"status": CUT}, ("o1",), "LOST"),
+        ({"content": b"i-0 /order/o2 200"}, ("o1",), "MIXED"),
+        ({"content": b"i-0 /order/o1 20"}, ("o1",), "MIXED"),
+        ({"named": "o2"}, ("o1",), "MIXED"),
+        ({"seal": ""}, ("o1",), "MIXED"),
+        ({"seal": "seal-of-i-1"}, ("o1",), "MIXED"),
+    ],
+)
+def test_each_planted_mistake_is_found(changes, runs, rule):
+    assert check(replace(ORDER, **changes), runs=runs) == [rule]
+
+
+def test_a_read_may_run_twice_and_a_refused_one_may_have_run():
+    read = replace(ORDER, is_order=False)
+    assert check(read, replace(read, status=503), runs=("o1", "o1")) == []
+
+
+def test_a_lost_answer_is_excused_by_a_fault_that_has_just_ended_alone():
+    cut = replace(ORDER, status=CUT)
+    assert check(cut, disturbed=[(0.0, ORDER.sent_at - SETTLED_S + 0.1)]) == []
+    assert check(cut, disturbed=[(0.0, ORDER.sent_at - SETTLED_S)]) == ["LOST"]
+    assert check(cut, disturbed=[(ORDER.ended_at + 1.0, 9.0)]) == ["LOST"]
+    assert check(cut, runs=()) == []
+
+
+def test_a_call_to_a_server_that_has_left_is_found():
+    assert check(ORDER, late=["o1"]) == ["DRAIN"]
+
+
+def test_a_version_that_is_taken_back_within_a_process_is_found():
+    served = replace(
+        ORDER, is_order=False, path="/v3/o1", content=b"i-0 /v3/o1 200", ended_at=2.0
+    )
+    refused = replace(served, sent_at=3.0, status=404)
+    assert check(served, refused) == ["CONFIG"]
+    assert check(served, replace(refused, path="/v4/o1")) == []
+    assert check(served, replace(refused, process=8)) == []
+    assert check(served, replace(refused, sent_at=1.9)) == []
+
+
+def test_plans_come_from_the_seed_and_some_have_planned_work_alone():
+    assert draw_faults(7, 15.0, 6) == draw_faults(7, 15.0, 6)
+    assert draw_faults(7, 15.0, 6) != draw_faults(8, 15.0, 6)
+    planned = draw_faults(PLANNED_ONLY, 15.0, 6)
+    assert all(fault.is_planned for fault in planned)
+    drawn = {f.action for seed in range(1, 60) for f in draw_faults(seed, 15.0, 6)}
+    assert drawn == {action for group in GROUPS for action in group}
+
+
+def test_runs_are_read_from_the_back_ends_file(tmp_path):
+    path = tmp_path / "runs"
+    assert read_runs(path) == (Counter(), [])
+    path.write_text("run a\nrun b\nrun a\nlate a\n")
+    assert read_runs(path) == (Counter(a=2, b=1), ["a"])
+
+
+@pytest.mark.parametrize("seed", [*REGRESSIONS, 4])
+def test_a_short_soak_breaks_nothing(seed):
+    result = run_soak(seed, nodes=3, duration_s=5.0)
+    assert result.broken == []
+    assert result.calls > 100
