--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -11,7 +11,12 @@
 
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_unrun
 from monsoontray.decisions.rollouts import Suspicion
-from monsoontray.decisions.servers import LoadReport, ServerRecord, ServerState
+from monsoontray.decisions.servers import (
+    LoadReport,
+    ServerRecord,
+    ServerState,
+    weigh_failure,
+)
 
 COLD_WINDOW_S = 1.05  # a cold server's bound holds for each second; some to spare
 COLD_SHARE = 0.95  # of the bound: calls may take unequal times to arrive
@@ -21,6 +26,13 @@
 SERVICE_WEIGHT = 0.1  # of the latest call in the mean service time
 SERVICE_SHARE = 0.7  # of the mean service time that a call needs at least
 LATE_SHARE = 0.6  # of the time left that a call which would be late may still take
+#: Failed calls in a row from which a server is offered no call that can go elsewhere:
+#: one that fails two calls of five does so in one case of a hundred.
+FAILING_AFTER = 5
+#: Time between two calls that a failing server still gets, to see it recover: calls
+#: that may be repeated, and others where those do not come.
+PROBE_S = 0.25
+ORDER_PROBE_S = 1.0
 RECHECK_S = 0.1  # time after which waiting calls are looked at again
 #: A server that was heard of later than this has not started anew since: the
 #: shortest time without a server in the deployments is a second.
@@ -54,6 +66,7 @@
     objective: float = math.inf  # until when its answer counts as on time
     route: str = ""
     may_wait: bool = True  # where no slot is free
+    idempotent: bool = False
 
 
 class Waiting:
@@ -79,8 +92,11 @@
         "_starts",
         "closed",
         "confirmed",
+        "failing",
+        "failures",
         "heard_at",
         "in_use",
+        "probed_at",
         "queue_limit",
         "record",
         "service_s",
@@ -101,6 +117,9 @@
         #: then it is treated as cold, since it may have started anew.
         self.confirmed = True
         self.heard_at = -math.inf  # when the server sent a response last
+        self.failing = 0.0  # share of the calls that fail, the latest counting most
+        self.failures = 0  # in a row
+        self.probed_at = -math.inf
         self.suspicion = Suspicion()
         self._cold = cold or ColdLimits()
         self._starts: deque[float] = deque()
@@ -127,7 +146,8 @@
         slots = self.get_capacity()
         if self.is_cold(now):
             slots = max(1, min(slots, int(self.record.cold_per_s * self.service_s)))
-        return LoadReport(self.in_use + len(self.waiting), slots, self.service_s)
+        calls = self.in_use + len(self.waiting)
+        return LoadReport(calls, slots, self.service_s, self.failing)
 
     def request_slot(
         self, call: Any, wanted: SlotRequest, now: float = 0.0
@@ -141,6 +161,9 @@
             return refuse_unrun(Reason.SERVER_LEAVING)
         if self.closed is not None:
             return refuse_unrun(self.closed)
+        if not wanted.may_wait and self._is_left_alone(wanted.idempotent, now):
+            load = self.report_load(now)
+            return Refusal(Reason.SERVER_FAILING, Ran.NOT_RUN, PROBE_S, load)
         if not self._has_cold_room(now):
             return Refusal(Reason.SERVER_COLD, Ran.NOT_RUN, self._find_cold_wait(now))
         if self.in_use < self.get_capacity():
@@ -189,8 +212,12 @@
         waiting.gone = True
         return True
 
-    def note_service(self, seconds: float) -> None:
-        """Take the time that the server needed for a call."""
+    def note_result(self, seconds: float, failed: bool) -> None:
+        """Take how a call has ended and the time that the server needed for it."""
+        self.failing = weigh_failure(self.failing, failed)
+        self.failures = self.failures + 1 if failed else 0
+        if failed:
+            return  # it tells nothing of the time that calls need
         if not self.service_s:
             self.service_s = seconds
         self.service_s += (seconds - self.service_s) * SERVICE_WEIGHT
@@ -209,6 +236,16 @@
             self._starts.append(now)
             self._drop_old_starts(now)
 
+    def _is_left_alone(self, idempotent: bool, now: float) -> bool:
+        """Say whether the server fails and needs no further call to show it."""
+        if self.failures < FAILING_AFTER:
+            return False
+        pause_s = PROBE_S if idempotent else ORDER_PROBE_S
+        if now - self.probed_at < pause_s:
+            return True
+        self.probed_at = now
+        return False
+
     def _has_cold_room(self, now: float) -> bool:
         if not self.is_cold(now):
             return True
--- a/monsoontray/decisions/outcomes.py
+++ b/monsoontray/decisions/outcomes.py
@@ -46,6 +46,7 @@
     SERVER_SHED = "server-shed"
     SERVER_COLD = "server-cold"
     SERVER_FAILED = "server-failed"
+    SERVER_FAILING = "server-failing"  # all its latest calls have failed
     SERVER_UNKNOWN = "server-unknown"
     ZONE_EVACUATED = "zone-evacuated"
     VERSION_BLOCKED = "version-blocked"
--- a/monsoontray/decisions/retries.py
+++ b/monsoontray/decisions/retries.py
@@ -85,6 +85,8 @@
 #: Guards that are asked for a free slot before a call waits for one: of three servers
 #: that are busy for seven eighths of the time, one is mostly free.
 FREE_OFFERS = 3
+#: Reasons for which a guard passes a call on to others that it would take otherwise.
+_PASSING = frozenset((Reason.SLOTS_BUSY, Reason.SERVER_FAILING))
 MAX_OFFERS = 6  # guards that a call is offered to while none has taken it
 #: How sure it is that a call ran, in rising order.
 _CERTAINTY = {Ran.NOT_RUN: 0, Ran.REJECTED: 1, Ran.UNKNOWN: 2}
@@ -99,14 +101,15 @@
         self.offers = 0  # attempts
         self.sends = 0  # attempts that a back end has seen or may have seen
         self.tried: list[str] = []  # servers
-        self.busy: list[str] = []  # servers that had no free slot; may be waited for
+        #: Servers that had no free slot, or failed; the call may still come back.
+        self.busy: list[str] = []
         self.ran = Ran.NOT_RUN  # the worst that any attempt has left behind
         self.last: Refusal | None = None  # how the latest one failed
 
     def leave(self, server: str, refusal: Refusal) -> bool:
         """Note a failed attempt; say whether it was the first that arrived."""
-        is_busy = refusal.reason is Reason.SLOTS_BUSY
-        (self.busy if is_busy else self.tried).append(server)
+        is_passing = refusal.reason in _PASSING
+        (self.busy if is_passing else self.tried).append(server)
         self.last = refusal
         if _CERTAINTY[refusal.ran] > _CERTAINTY[self.ran]:
             self.ran = refusal.ran
--- a/monsoontray/decisions/servers.py
+++ b/monsoontray/decisions/servers.py
@@ -102,6 +102,7 @@
     calls: int  # running and waiting, from all nodes
     slots: int  # calls that the server takes at once now
     service_s: float  # mean time that the server needs for one call
+    failing: float = 0.0  # share of the calls that fail, the latest counting most
 
 
 class ServerLoad:
@@ -158,7 +159,7 @@
     def note_outcome(self, server: str, failed: bool) -> None:
         """Take whether a call that a server took has failed."""
         load = self._find(server)
-        load.failing += ((1.0 if failed else 0.0) - load.failing) * FAILURE_WEIGHT
+        load.failing = weigh_failure(load.failing, failed)
 
     def mark_unreachable(self, server: str) -> None:
         """Avoid a server until its guard is heard of."""
@@ -213,9 +214,14 @@
     def estimate(self, endpoint: Endpoint, now: float, usual_s: float) -> float:
         """Return the seconds that a further call would cost at a server."""
         load = self._loads.get(endpoint.server)
-        failing = 0.0 if load is None else load.failing
-        retried = 1.0 + failing * FAILURE_COST
-        return self.expect(endpoint, now, usual_s) * retried
+        expected_s = self.expect(endpoint, now, usual_s)
+        if load is None:
+            return expected_s
+        failing = load.failing
+        if load.report is not None:
+            failing = max(failing, load.report.failing)
+        # A server that fails at once must not seem fast.
+        return expected_s + failing * FAILURE_COST * max(expected_s, usual_s)
 
     def expect(self, endpoint: Endpoint, now: float, usual_s: float) -> float:
         """Return the seconds that a further call would take at a server.
@@ -300,6 +306,11 @@
     return min(preferred or usable, key=score)
 
 
+def weigh_failure(failing: float, failed: bool) -> float:
+    """Return the share of calls that fail, after a further call."""
+    return failing + ((1.0 if failed else 0.0) - failing) * FAILURE_WEIGHT
+
+
 def _find_distance(endpoint: Endpoint, place: Place, body_bytes: int) -> float:
     """Return the seconds by which a server is considered farther than a near one."""
     if endpoint.region != place.region:
--- a/monsoontray/forwarding/attempts.py
+++ b/monsoontray/forwarding/attempts.py
@@ -126,7 +126,12 @@
         return
     route = call.route
     wanted = SlotRequest(
-        route.deadline, route.priority, route.objective, route.name, may_wait
+        route.deadline,
+        route.priority,
+        route.objective,
+        route.name,
+        may_wait,
+        route.idempotent,
     )
     outcome = guard.request_slot(call, wanted, call.now)
     follow_slot(outcome, call, guard)
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -249,7 +249,7 @@
         guard = self.guard
         if guard is not None:
             seconds = self.now - self._slot_since
-            guard.note_service(seconds)
+            guard.note_result(seconds, failed)
             self.forwarder.guards.weigh_call(guard, self.route.name, seconds, failed)
 
     def note_unfinished(self) -> None:
--- a/monsoontray/forwarding/responses.py
+++ b/monsoontray/forwarding/responses.py
@@ -15,6 +15,7 @@
 
 WRONG_SERVER_STATUS = 421
 _MS_PER_S = 1000
+_PER_CENT = 100
 
 
 @dataclass(slots=True, frozen=True)
@@ -77,14 +78,15 @@
 def encode_load(report: LoadReport) -> bytes:
     """Return a guard's load as a header line."""
     service_ms = int(report.service_s * _MS_PER_S)
-    value = b"%d %d %d" % (report.calls, report.slots, service_ms)
+    failing = int(report.failing * _PER_CENT)
+    value = b"%d %d %d %d" % (report.calls, report.slots, service_ms, failing)
     return encode_line(LOAD_HEADER, value)
 
 
 def read_load(head: ResponseHead) -> LoadReport | None:
     """Return the load that a guard's response carries, if any."""
     parts = head.own.get(LOAD_HEADER, b"").split()
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+    if len(parts) != 4 or not all(part.isdigit() for part in parts):
         return None
-    calls, slots, service_ms = (int(part) for part in parts)
-    return LoadReport(calls, slots, service_ms / _MS_PER_S)
+    calls, slots, service_ms, failing = (int(part) for part in parts)
+    return LoadReport(calls, slots, service_ms / _MS_PER_S, failing / _PER_CENT)
--- a/tests/test_decisions/test_guard.py
+++ b/tests/test_decisions/test_guard.py
@@ -9,7 +9,10 @@
 from monsoontray.decisions.guard import (
     ALIVE_S,
     COLD_WINDOW_S,
+    FAILING_AFTER,
     LATE_SHARE,
+    ORDER_PROBE_S,
+    PROBE_S,
     SERVICE_SHARE,
     ColdLimits,
     Granted,
@@ -154,7 +157,7 @@
 
 def test_calls_that_would_wait_past_their_deadline_are_refused_at_once():
     guard = GuardState(replace(RECORD, slots=1), 99)
-    guard.note_service(0.1)
+    guard.note_result(0.1, failed=False)
     guard.request_slot("runs", SlotRequest(9.0, 1), 0.0)
     assert guard.request_slot("waits", SlotRequest(0.3, 1), 0.0) == Queued()
     refusal = guard.request_slot("too late", SlotRequest(0.25, 1), 0.0)
@@ -167,7 +170,7 @@
 def test_the_load_report_shows_what_a_cold_server_bears():
     record = replace(RECORD, slots=9, cold_until=5.0, cold_per_s=20.0)
     guard = GuardState(record, 9)
-    guard.note_service(0.1)
+    guard.note_result(0.1, failed=False)
     assert guard.report_load(0.0).slots == 2
     assert guard.report_load(6.0).slots == 9
 
@@ -251,3 +254,46 @@
     # A slot that becomes free belongs to those who wait.
     assert guard.release_slot(1.0) == "d"
     assert guard.request_slot("e", at_once).reason is Reason.SLOTS_BUSY
+
+
+def fail(guard, times=FAILING_AFTER):
+    for _ in range(times):
+        guard.note_result(0.001, failed=True)
+
+
+def test_a_server_whose_calls_all_fail_passes_on_those_that_can_go_elsewhere():
+    guard = GuardState(replace(RECORD, slots=9), 9)
+    order = SlotRequest(99.0, 0, may_wait=False)
+    read = replace(order, idempotent=True)
+    fail(guard, FAILING_AFTER - 1)
+    assert guard.request_slot("a", order, 1.0) == Granted()
+    fail(guard, 1)
+    assert guard.request_slot("b", read, 1.0) == Granted()  # shows whether it fails
+    refusal = guard.request_slot("c", read, 1.0 + PROBE_S / 2)
+    assert (refusal.reason, refusal.ran) == (Reason.SERVER_FAILING, Ran.NOT_RUN)
+    assert refusal.load.failing > 0.3
+    # A call that has nowhere else to go is not refused.
+    assert guard.request_slot("d", replace(order, may_wait=True), 1.1) == Granted()
+    guard.note_result(0.1, failed=False)
+    assert guard.request_slot("e", order, 1.1) == Granted()
+
+
+def test_a_failing_server_gets_a_call_now_and_then_of_reads_before_orders():
+    guard = GuardState(replace(RECORD, slots=99), 9)
+    order = SlotRequest(99.0, 0, may_wait=False)
+    read = replace(order, idempotent=True)
+    fail(guard)
+    assert guard.request_slot("a", order, 1.0) == Granted()
+    for step in range(1, 4):
+        now = 1.0 + step * PROBE_S
+        assert guard.request_slot(f"o{step}", order, now).ran is Ran.NOT_RUN
+        assert guard.request_slot(f"r{step}", read, now) == Granted()
+    later = 1.0 + 3 * PROBE_S + ORDER_PROBE_S
+    assert guard.request_slot("b", order, later) == Granted()
+
+
+def test_failed_calls_do_not_make_a_server_seem_fast():
+    guard = GuardState(RECORD, 9)
+    guard.note_result(0.2, failed=False)
+    fail(guard, 50)
+    assert guard.service_s == pytest.approx(0.2)
--- a/tests/test_decisions/test_retries.py
+++ b/tests/test_decisions/test_retries.py
@@ -86,4 +86,7 @@
     assert record.tried == []
     record.leave("s0", Refusal(Reason.NO_SLOT, Ran.NOT_RUN))
     assert record.tried == ["s0"]
+    # A failing server passes a call on too, and is used when no other is left.
+    record.leave("s9", Refusal(Reason.SERVER_FAILING, Ran.NOT_RUN))
+    assert "s9" in record.busy
     assert FREE_OFFERS < MAX_OFFERS
--- a/tests/test_decisions/test_servers.py
+++ b/tests/test_decisions/test_servers.py
@@ -139,3 +139,15 @@
     chosen = Counter(choose(servers, loads, seed=i).server for i in range(500))
     assert chosen["s0"] == 0
     assert min(chosen[f"s{i}"] for i in range(1, 5)) > 50
+
+
+def test_a_server_that_fails_at_once_does_not_seem_fast():
+    loads = LoadView()
+    bad, good = build_endpoint("bad", "zone-a"), build_endpoint("good", "zone-a")
+    loads.hear("good", LoadReport(calls=8, slots=9, service_s=0.2), 0.0)
+    # The other nodes' calls to the bad one have failed; none of this node's has yet.
+    loads.hear("bad", LoadReport(0, 9, service_s=0.001, failing=0.9), 0.0)
+    chosen = {choose([bad, good], loads, seed=seed).server for seed in range(20)}
+    assert chosen == {"good"}
+    loads.hear("bad", LoadReport(0, 9, service_s=0.2, failing=0.0), 0.0)
+    assert choose([bad, good], loads).server == "bad"
--- a/tests/test_forwarding/test_responses.py
+++ b/tests/test_forwarding/test_responses.py
@@ -68,7 +68,7 @@
 
 
 def test_loads_survive_the_wire():
-    report = LoadReport(7, 9, 0.125)
+    report = LoadReport(7, 9, 0.125, 0.25)
     name, _, value = encode_load(report).rstrip().partition(b": ")
     head = build_head()
     head.own[name] = value
--- a/tests/test_platform/test_mesh_faults.py
+++ b/tests/test_platform/test_mesh_faults.py
@@ -136,3 +136,24 @@
         assert call(first, f"/order/{i}", f"u{i}", "POST").status == 200
     mesh.fleet.wait_for(lambda: mesh.count_servers(first) == 1, "word of the stop")
     second.handle.process.wait(timeout=10)
+
+
+def test_a_server_that_fails_all_calls_at_once_does_not_draw_them(mesh):
+    mesh.order("op/config", build_configuration(1, READ, ORDER))
+    for i in range(3):
+        mesh.start_server(mesh.add_node(f"node-{i}", "zone-0", "one"), f"i-{i}")
+    mesh.wait_for_servers(3)
+    for node in mesh.nodes:
+        mesh.fleet.wait_for(lambda node=node: mesh.is_ready(node), "readiness")
+        mesh.control(node, service_ms=50)
+    mesh.control(mesh.nodes[2], fail=True, service_ms=0.1)
+    statuses = [
+        call(mesh.nodes[i % 2], f"/order/{i}", f"o{i}", "POST").status
+        for i in range(100)
+    ]
+    assert statuses.count(200) >= 85
+    mesh.control(mesh.nodes[2])  # fast and sound from now on
+    mesh.fleet.wait_for(
+        lambda: call(mesh.nodes[0], "/read/1", "r").body.startswith(b"i-2"),
+        "the return of the server",
+    )
