Keep log lines of calls that were passed on behind those of refused ones

Cause: since calls are offered for a free slot first, each refusal slots-busy wrote a line at both nodes, and these could take the bound of 100 lines a second from the refusals that an engineer looks for; nor did a line name the servers that had passed a call on. Change: such lines leave 100 to the others, as those of answered calls do; the field busy names the servers, server the one of the latest attempt.

--- a/monsoontray/decisions/retries.py
+++ b/monsoontray/decisions/retries.py
@@ -85,6 +85,13 @@
 #: Guards that are asked for a free slot before a call waits for one: of three servers
 #: that are busy for seven eighths of the time, one is mostly free.
 FREE_OFFERS = 3
+
+
+def is_passed_on(reason: Reason) -> bool:
+    """Say whether a guard passes a call on that it would take otherwise."""
+    return reason in _PASSING
+
+
 #: Reasons for which a guard passes a call on to others that it would take otherwise.
 _PASSING = frozenset((Reason.SLOTS_BUSY, Reason.SERVER_FAILING))
 MAX_OFFERS = 6  # guards that a call is offered to while none has taken it
@@ -95,7 +102,7 @@
 class AttemptRecord:
     """Record the attempts of one call and what they left behind."""
 
-    __slots__ = ("busy", "last", "offers", "ran", "sends", "tried")
+    __slots__ = ("busy", "last", "offers", "ran", "sends", "server", "tried")
 
     def __init__(self) -> None:
         self.offers = 0  # attempts
@@ -103,13 +110,14 @@
         self.tried: list[str] = []  # servers
         #: Servers that had no free slot, or failed; the call may still come back.
         self.busy: list[str] = []
+        self.server = ""  # of the latest attempt that failed
         self.ran = Ran.NOT_RUN  # the worst that any attempt has left behind
         self.last: Refusal | None = None  # how the latest one failed
 
     def leave(self, server: str, refusal: Refusal) -> bool:
         """Note a failed attempt; say whether it was the first that arrived."""
-        is_passing = refusal.reason in _PASSING
-        (self.busy if is_passing else self.tried).append(server)
+        (self.busy if is_passed_on(refusal.reason) else self.tried).append(server)
+        self.server = server
         self.last = refusal
         if _CERTAINTY[refusal.ran] > _CERTAINTY[self.ran]:
             self.ran = refusal.ran
--- a/monsoontray/forwarding/report.py
+++ b/monsoontray/forwarding/report.py
@@ -7,10 +7,11 @@
 
 from loguru import logger
 
+from monsoontray.decisions.retries import is_passed_on
 from monsoontray.forwarding.routes import EntryRoute, GuardRoute
 
 if TYPE_CHECKING:
-    from monsoontray.decisions.outcomes import Refusal
+    from monsoontray.decisions.outcomes import Reason, Refusal
     from monsoontray.decisions.retries import Abandon, Retry
     from monsoontray.forwarding.call import Call
     from monsoontray.forwarding.forwarder import Forwarder
@@ -20,7 +21,8 @@
 #: percent of a core.
 LINES_PER_S = 100
 LINES_AT_ONCE = 200  # after a quiet time
-KEPT_LINES = 100  # of these, for calls that did not simply end well
+#: Of these, for calls that did not simply end well or were passed on to another guard.
+KEPT_LINES = 100
 
 
 class Report:
@@ -37,9 +39,11 @@
 
     def refusal(self, refusal: Refusal, call: Call) -> None:
         """Report the refusal of a call."""
-        self._metrics.count_refusal(refusal.reason.value, refusal.ran.value)
+        reason = refusal.reason
+        self._metrics.count_refusal(reason.value, refusal.ran.value)
+        kept = _find_kept_lines(reason)
         self._log(
-            "call refused", call, reason=refusal.reason.value, ran=refusal.ran.value
+            "call refused", call, kept, reason=reason.value, ran=refusal.ran.value
         )
 
     def refuse_head(self, refusal: Refusal, call_id: str, head: RequestHead) -> None:
@@ -65,7 +69,8 @@
     def retry(self, call: Call, retry: Retry) -> None:
         """Report that a call is offered to another server."""
         self._metrics.count_retry(retry.reason.value)
-        self._log("call sent again", call, reason=retry.reason.value)
+        kept = _find_kept_lines(retry.reason)
+        self._log("call sent again", call, kept, reason=retry.reason.value)
 
     def cut(self, call: Call, cut: Abandon) -> None:
         """Report a response that was cut short."""
@@ -89,16 +94,16 @@
             return
         route = call.route
         loads, now = self._forwarder.loads, self._forwarder.now
-        tried = call.attempts.tried
-        # An attempt that was given up has left its server among those tried.
-        server = call.server or (tried[-1] if tried else "")
+        attempts = call.attempts
+        server = call.server or attempts.server
         self._write(
             text,
             call=call.call_id,
             side=get_side(route),
             route=route.name,
             server=server,
-            tried=",".join(tried),
+            tried=",".join(attempts.tried),
+            busy=",".join(attempts.busy),
             load_ms=loads.find_age_ms(server, now),
             ms=round((now - call.started) * 1000, 1),
             left_ms=round((route.deadline - now) * 1000),
@@ -127,6 +132,11 @@
         return True
 
 
+def _find_kept_lines(reason: Reason) -> int:
+    """Return how many lines are kept for events that matter more."""
+    return KEPT_LINES if is_passed_on(reason) else 0
+
+
 @singledispatch
 def get_side(route: Any) -> str:
     """Return the name of the side that a call came in on."""
--- a/tests/test_forwarding/test_report.py
+++ b/tests/test_forwarding/test_report.py
@@ -88,12 +88,34 @@
 def test_a_line_names_the_server_of_an_attempt_that_was_given_up(forwarder, lines):
     call = build_call("a")
     call.server = ""
-    call.attempts.tried.extend(["i-1", "i-2"])
+    for server in ("i-1", "i-2"):
+        call.attempts.leave(server, refuse_unrun(Reason.NO_SLOT))
     Report(forwarder).refusal(refuse_unrun(Reason.DEADLINE_PASSED), call)
     assert lines[0]["extra"]["server"] == "i-2"
     assert lines[0]["extra"]["tried"] == "i-1,i-2"
 
 
+def test_calls_that_were_passed_on_leave_lines_to_those_that_were_refused(
+    forwarder, lines
+):
+    report = Report(forwarder)
+    for i in range(1000):
+        report.refusal(refuse_unrun(Reason.SLOTS_BUSY), build_call(f"b{i}"))
+    report.refusal(refuse_unrun(Reason.NO_SLOT), build_call("refused"))
+    assert lines[-1]["extra"]["call"] == "refused"
+
+
+def test_a_line_names_the_servers_that_passed_a_call_on(forwarder, lines):
+    call = build_call("a")
+    call.server = ""
+    call.attempts.leave("i-1", refuse_unrun(Reason.SLOTS_BUSY))
+    call.attempts.leave("i-2", refuse_unrun(Reason.SERVER_FAILING))
+    Report(forwarder).refusal(refuse_unrun(Reason.DEADLINE_PASSED), call)
+    fields = lines[0]["extra"]
+    assert (fields["server"], fields["busy"]) == ("i-2", "i-1,i-2")
+    assert fields["tried"] == ""
+
+
 def test_a_line_says_how_old_the_news_of_the_server_was(forwarder, lines):
     forwarder.loads.hear("i-1", None, 0.0)
     forwarder.now = 0.25
