Decode what other parties write in one place, into values in range

Cause: each reader decoded on its own and caught the error of msgspec only. A document that is nested too deep raises RecursionError, also in a field that nobody reads, and ended the task and with it the node, again after each restart. Ports, sizes and times were not checked, so a record with a negative or large port raised in the task that owns the sockets, as did a number of thousands of digits in a header between nodes.

Change: decoding/ has the types of values (ports, counts, times, names that fit in a header) and the only calls of the decoders. A document is decoded whole or refused with DecodingError; EntryRefusals counts it and logs it once for each key and revision. A refused record no longer counts as listed, but the node that it names is used while it answers. A node publishes its record again if another writer replaced it, and starts a later incarnation than the listed one if the time of day has gone back. Addresses are IPv4, as host names would be looked up while a task waits.

Two tests expected msgspec's error; they now expect DecodingError, which wraps it.

--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -71,7 +71,11 @@
 
     def write_key(self, key: str, value: object) -> None:
         """Write a key as the platform's operator."""
-        encoded = base64.b64encode(json.dumps(value).encode()).decode()
+        self.write_bytes(key, json.dumps(value).encode())
+
+    def write_bytes(self, key: str, value: bytes) -> None:
+        """Write a key whose value need not be a valid document."""
+        encoded = base64.b64encode(value).decode()
         self._write_as_operator({"puts": [{"key": key, "value": encoded}]})
 
     def remove_key(self, key: str) -> None:
--- a/monsoontray/configuration/acceptance.py
+++ b/monsoontray/configuration/acceptance.py
@@ -5,7 +5,6 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 from loguru import logger
 
 from monsoontray.configuration.messages import (
@@ -26,6 +25,7 @@
     decode_head,
     encode_head,
 )
+from monsoontray.decoding.errors import DecodingError
 from monsoontray.kernel.kernel import CrashPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
 from monsoontray.plans.encoding import (
@@ -201,7 +201,7 @@
 def _(message: ProposeLists, acceptance: Acceptance) -> None:
     try:
         message.reply.put(acceptance.propose(message))
-    except msgspec.DecodeError as error:
+    except DecodingError as error:
         message.reply.put(StoreFailed(f"the head record is corrupt: {error}"))
 
 
@@ -209,7 +209,7 @@
 def _(message: ReadHistory, acceptance: Acceptance) -> None:
     try:
         message.reply.put(acceptance.read_history(message.count))
-    except msgspec.DecodeError as error:
+    except DecodingError as error:
         message.reply.put(StoreFailed(f"the head record is corrupt: {error}"))
 
 
--- a/monsoontray/configuration/records.py
+++ b/monsoontray/configuration/records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from monsoontray.decoding.documents import decode_json
+from monsoontray.decoding.values import SocketAddress
 from monsoontray.plans.model import NO_VERSION, VersionName
 from monsoontray.store.outcomes import ABSENT, Record
 
@@ -14,7 +16,7 @@
 class Directory(msgspec.Struct, frozen=True):
     """Peer addresses of the nodes of each zone."""
 
-    zones: dict[str, dict[str, str]]  # "region/zone" -> node -> peer address
+    zones: dict[str, dict[str, SocketAddress]]  # "region/zone" -> node -> peer address
 
 
 def build_version_key(name: VersionName) -> str:
@@ -33,14 +35,16 @@
 
 
 def decode_head(record: Record) -> VersionName:
-    """Return the version that the head record names; raise msgspec.DecodeError."""
+    """Return the version that the head record names; raise DecodingError."""
     if record.revision == ABSENT:
         return NO_VERSION
-    return msgspec.json.decode(record.value, type=VersionName)
+    name: VersionName = decode_json(record.value, VersionName)
+    return name
 
 
 def decode_directory(record: Record) -> Directory:
-    """Return the directory; raise msgspec.DecodeError."""
+    """Return the directory; raise DecodingError."""
     if record.revision == ABSENT:
         return Directory({})
-    return msgspec.json.decode(record.value, type=Directory)
+    directory: Directory = decode_json(record.value, Directory)
+    return directory
--- a/monsoontray/configuration/watcher.py
+++ b/monsoontray/configuration/watcher.py
@@ -27,6 +27,7 @@
     choose_unknown_addresses,
     may_request_lease,
 )
+from monsoontray.decoding.errors import DecodingError
 from monsoontray.kernel.errors import ReplyTimeoutError
 from monsoontray.kernel.kernel import CrashPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
@@ -246,14 +247,14 @@
     def _read_head(self, record: Record) -> VersionName | None:
         try:
             return decode_head(record)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             logger.error("the head record is corrupt: {}", error)
             return None
 
     def _read_directory(self, record: Record) -> Directory:
         try:
             return decode_directory(record)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             logger.error("the directory is corrupt and will be rewritten: {}", error)
             return Directory({})
 
--- a/monsoontray/decisions/deltas.py
+++ b/monsoontray/decisions/deltas.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from monsoontray.decoding.values import Count
+
 #: Values are split into chunks between two objects of a JSON list.
 _CHUNK_SEPARATOR = b"},"
 _DIGEST_BYTES = 8
@@ -14,8 +16,8 @@
 class ChunkRange(msgspec.Struct, frozen=True, array_like=True):
     """Range of consecutive chunks of the earlier value."""
 
-    start: int
-    count: int
+    start: Count
+    count: Count
 
 
 class Delta(msgspec.Struct, frozen=True, array_like=True):
--- a/monsoontray/decisions/directory.py
+++ b/monsoontray/decisions/directory.py
@@ -7,6 +7,15 @@
 import msgspec
 
 from monsoontray.decisions.servers import Endpoint, ServerState, ServerTable
+from monsoontray.decoding.values import (
+    Count,
+    Label,
+    Name,
+    Rate,
+    SocketAddress,
+    Timestamp,
+    Token,
+)
 
 #: Time for which a node is kept after it is no longer listed. The node may be alive:
 #: its record is also removed when its lease lapses. Its server is called only while
@@ -17,26 +26,26 @@
 class ListedServer(msgspec.Struct, frozen=True, array_like=True):
     """Backend server in the record of its node; the field order is the format."""
 
-    server: str
-    service: str
-    version: str
-    slots: int
+    server: Token
+    service: Name
+    version: Label
+    slots: Count
     leaving: bool
-    born: int
+    born: Timestamp
 
 
 class ListedNode(msgspec.Struct, frozen=True, array_like=True):
     """Record of a node in the store; the field order is the format."""
 
-    node: str
-    region: str
-    zone: str
-    guard_address: str
-    peer_address: str
-    incarnation: int  # nanoseconds since the epoch at which the process started
+    node: Name
+    region: Name
+    zone: Name
+    guard_address: SocketAddress
+    peer_address: SocketAddress
+    incarnation: Timestamp  # nanoseconds since the epoch at which the process started
     stopping: bool
     server: ListedServer | None
-    link_mbps: float = 0.0  # bandwidth of the VM's link; 0 if unknown
+    link_mbps: Rate = 0.0  # bandwidth of the VM's link; 0 if unknown
 
 
 class NodeDirectory:
--- a/monsoontray/decisions/rollouts.py
+++ b/monsoontray/decisions/rollouts.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from monsoontray.decisions.servers import Endpoint
+from monsoontray.decoding.values import Label, Name, Revision, Seconds, Sequence
 
 #: Assumed probability that a call fails: with a good version while other faults occur,
 #: and with a bad version.
@@ -71,25 +72,25 @@
 class RolloutPlan(msgspec.Struct, frozen=True):
     """State of a rollout, as stored for all nodes."""
 
-    order: int  # revision of the operator's order
-    service: str
-    target: str  # the new version
-    period_s: float
+    order: Revision  # of the operator's order
+    service: Name
+    target: Label  # the new version
+    period_s: Seconds
     phase: Phase
-    elapsed_s: float  # since the order, when this was written
+    elapsed_s: Seconds  # since the order, when this was written
     #: Mean seconds of a call to the old version, by route.
-    baseline: dict[str, float] = {}
+    baseline: dict[str, Seconds] = {}
 
 
 @dataclass(slots=True, frozen=True)
 class ServerEvidence:
     """Calls of one server, as observed by its guard."""
 
-    version: str
-    calls: int
+    version: Label
+    calls: Sequence
     suspected: bool
-    means: Mapping[str, float]  # mean seconds of a call, by route
-    strikes: int = 0  # number of times that the server was suspected
+    means: Mapping[str, Seconds]  # mean seconds of a call, by route
+    strikes: Sequence = 0  # number of times that the server was suspected
 
 
 class VersionSuspicion:
--- a/monsoontray/discovery/encoding.py
+++ b/monsoontray/discovery/encoding.py
@@ -7,9 +7,15 @@
 import msgspec
 
 from monsoontray.decisions.deltas import Delta
+from monsoontray.decisions.directory import ListedNode
+from monsoontray.decoding.documents import decode_json, decode_msgpack, decompress
+from monsoontray.decoding.errors import DecodingError
+from monsoontray.decoding.values import Revision
+from monsoontray.store.outcomes import Record
 
 #: Prefixes of the keys that nodes mirror for each other.
 MIRRORED_PREFIXES = ("op/", "nodes/", "rollouts/")
+NODE_KEY_PREFIX = "nodes/"
 #: Values of at least this size are sent as deltas.
 DELTA_MIN_BYTES = 4_096
 #: Achieves most of the compression of higher levels, in a third of the time.
@@ -20,20 +26,20 @@
     """A record of the store; its value is sent whole or as a delta."""
 
     key: str
-    revision: int
+    revision: Revision
     value: bytes
-    base_revision: int = 0  # of the record that ``delta`` applies to
+    base_revision: Revision = 0  # of the record that ``delta`` applies to
     delta: Delta | None = None
 
 
 class MirrorResponse(msgspec.Struct, frozen=True, array_like=True):
     """Content of the store or its changes; the field order is the format."""
 
-    revision: int
+    revision: Revision
     reads_store: bool = True  # whether the sending node reads the store itself
     is_complete: bool = False  # if so, keys that are not in ``records`` do not exist
     records: tuple[MirrorRecord, ...] = ()
-    removed: tuple[tuple[str, int], ...] = ()  # keys and revisions
+    removed: tuple[tuple[str, Revision], ...] = ()  # keys and revisions
 
 
 def encode_response(response: MirrorResponse) -> bytes:
@@ -42,8 +48,14 @@
 
 
 def decode_response(data: bytes) -> MirrorResponse:
-    """Return the decoded response; raise msgspec.DecodeError if it is invalid."""
-    try:
-        return msgspec.msgpack.decode(zlib.decompress(data), type=MirrorResponse)
-    except zlib.error as error:
-        raise msgspec.DecodeError(str(error)) from error
+    """Return the decoded response; raise DecodingError if it is invalid."""
+    response: MirrorResponse = decode_msgpack(decompress(data), MirrorResponse)
+    return response
+
+
+def decode_node(record: Record) -> ListedNode:
+    """Return the node that a record describes; raise DecodingError."""
+    node: ListedNode = decode_json(record.value, ListedNode)
+    if record.key != NODE_KEY_PREFIX + node.node:
+        raise DecodingError(f"the record is of node {node.node!r}")
+    return node
--- a/monsoontray/discovery/mirror_client.py
+++ b/monsoontray/discovery/mirror_client.py
@@ -6,11 +6,11 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-import msgspec
 import urllib3
 from loguru import logger
 
 from monsoontray.decisions.deltas import apply_delta
+from monsoontray.decoding.errors import DecodingError
 from monsoontray.discovery.encoding import (
     DELTA_MIN_BYTES,
     MIRRORED_PREFIXES,
@@ -138,7 +138,7 @@
         try:
             response = self._http.request("GET", url, timeout=timeout)
             return decode_response(response.data)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+        except (urllib3.exceptions.HTTPError, DecodingError) as error:
             # The type tells a node that accepts no connection from one that accepts
             # it and does not answer.
             logger.bind(
--- a/monsoontray/discovery/publisher.py
+++ b/monsoontray/discovery/publisher.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from monsoontray.decisions.backoff import compute_retry_time
+from monsoontray.discovery.encoding import NODE_KEY_PREFIX
 from monsoontray.discovery.messages import PublishNode, WithdrawNode
 from monsoontray.kernel.kernel import CrashPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
@@ -19,7 +20,6 @@
     from monsoontray.store.client import StoreClient
 
 NAME = "publisher"
-NODE_KEY_PREFIX = "nodes/"
 RENEWALS_PER_LIFETIME = 3
 INITIAL_RETRY_DELAY_S = 0.1  # doubled after each further failed call
 MAX_RETRY_DELAY_S = 0.8
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -14,6 +14,9 @@
 from monsoontray.decisions.directory import ListedNode, ListedServer, NodeDirectory
 from monsoontray.decisions.servers import Location, ServerState
 from monsoontray.decisions.sources import StoreAccess, choose_store_access
+from monsoontray.decoding.errors import DecodingError
+from monsoontray.decoding.refusals import EntryRefusals
+from monsoontray.discovery.encoding import NODE_KEY_PREFIX, decode_node
 from monsoontray.discovery.messages import (
     ChooseStoreAccess,
     DescribeNodes,
@@ -23,7 +26,6 @@
     StoreChanged,
     StoreListed,
 )
-from monsoontray.discovery.publisher import NODE_KEY_PREFIX
 from monsoontray.forwarding.messages import (
     LocalServer,
     NodeLeaving,
@@ -35,7 +37,7 @@
 from monsoontray.kernel.task import Task
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from monsoontray.settings.settings import Settings
     from monsoontray.store.outcomes import Record
@@ -51,6 +53,8 @@
         settings: Settings = kernel.find("settings").settings
         self._settings = settings
         self._node = settings.get_string("node")
+        self._key = NODE_KEY_PREFIX + self._node
+        self._refusals = EntryRefusals(kernel.find("metrics"), "node")
         self._incarnation = time.time_ns()
         self._directory = NodeDirectory()
         self._local_server = LocalServerTracker()
@@ -75,9 +79,11 @@
 
     def apply_listing(self, records: Sequence[Record]) -> None:
         """Replace the listed nodes by those of the store's records."""
-        nodes = [node for node in map(_decode_node, records) if node is not None]
+        decoded = [self._decode_node(record) for record in records]
+        nodes = [node for node in decoded if node is not None]
         own = [node for node in nodes if node.node == self._node]
         others = [node for node in nodes if node.node != self._node]
+        self._exceed_incarnations(own)
         self._directory.sync([*others, self._build_node()], self.clock.now())
         if own != [self._build_node()]:
             self._publish()
@@ -87,13 +93,17 @@
         """Apply records that were written or removed in the store."""
         now = self.clock.now()
         for record in message.records:
-            node = _decode_node(record)
-            if node is None or node.node == self._node:
-                continue
-            self._directory.add(node)
+            node = self._decode_node(record)
+            if record.key == self._key:
+                self._check_own_record(node)
+            elif node is None:
+                # What the record replaced may still be true.
+                self._directory.unlist(record.key.removeprefix(NODE_KEY_PREFIX), now)
+            else:
+                self._directory.add(node)
         for record in message.removed:
             name = record.key.removeprefix(NODE_KEY_PREFIX)
-            if name == self._node:
+            if record.key == self._key:
                 logger.warning("own record was removed from the store")
                 self._publish()
             else:
@@ -168,6 +178,32 @@
             link_mbps=self._settings.get_float("link_mbps"),
         )
 
+    def _decode_node(self, record: Record) -> ListedNode | None:
+        """Return the node that a record describes, or None if it is refused."""
+        try:
+            return decode_node(record)
+        except DecodingError as error:
+            self._refusals.report(record, error)
+            return None
+
+    def _check_own_record(self, node: ListedNode | None) -> None:
+        """Publish this node's record again if another writer has replaced it."""
+        if node is not None:
+            self._exceed_incarnations((node,))
+        if node is None or node.incarnation != self._incarnation:
+            logger.warning("own record was replaced in the store")
+            self._publish()
+
+    def _exceed_incarnations(self, own: Iterable[ListedNode]) -> None:
+        """Start a later incarnation than those that the store lists of this node.
+
+        The time of day may have gone back since the previous process started. The
+        other nodes would then ignore the records of this one.
+        """
+        latest = max((node.incarnation for node in own), default=0)
+        if latest > self._incarnation:
+            self._incarnation = latest + 1
+
     def _publish(self) -> None:
         node = self._build_node()
         self._directory.add(node)
@@ -188,14 +224,6 @@
         )
 
 
-def _decode_node(record: Record) -> ListedNode | None:
-    try:
-        return msgspec.json.decode(record.value, type=ListedNode)
-    except msgspec.DecodeError as error:
-        logger.bind(key=record.key).warning("invalid node record: {}", error)
-        return None
-
-
 @singledispatch
 def handle_message(message: Any, discovery: Discovery) -> None:
     """Handle a message to the discovery task."""
@@ -246,5 +274,5 @@
 
 def setup(kernel: Kernel) -> None:
     """Register the service."""
-    requires = ("settings", "publisher")
+    requires = ("settings", "metrics", "publisher")
     kernel.register(Registration(NAME, requires, Discovery))
--- a/monsoontray/forwarding/attempts.py
+++ b/monsoontray/forwarding/attempts.py
@@ -196,7 +196,7 @@
         encode_header(PRIORITY_HEADER, b"%d" % route.priority),
     ]
     if route.name:
-        lines.append(encode_header(ROUTE_HEADER, route.name.encode("latin-1")))
+        lines.append(encode_header(ROUTE_HEADER, route.name.encode()))
     if route.objective < math.inf:
         remaining_ms = max(0, int((route.objective - now) * 1000))
         lines.append(encode_header(OBJECTIVE_HEADER, b"%d" % remaining_ms))
--- a/monsoontray/forwarding/refusals.py
+++ b/monsoontray/forwarding/refusals.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_unknown
+from monsoontray.decoding.documents import decode_digits
 from monsoontray.forwarding.heads import (
     CONNECTION_CLOSE_HEADER,
     Framing,
@@ -23,6 +24,7 @@
 RAN_HEADER = b"monsoontray-ran"
 RETRY_AFTER_HEADER = b"monsoontray-retry-after-ms"
 CALL_ID_HEADER = b"monsoontray-call-id"
+MAX_RETRY_AFTER_MS = 3_600_000
 MIN_RETRY_AFTER_S = 0.05  # an earlier retry would be refused again
 
 _STATUS_BY_REASON = {
@@ -143,7 +145,7 @@
         return None
     ran = _RAN_BY_VALUE.get(head.node_headers.get(RAN_HEADER, b""), Ran.UNKNOWN)
     retry_ms = head.node_headers.get(RETRY_AFTER_HEADER, b"")
-    retry_after_s = int(retry_ms) / _MS_PER_S if retry_ms.isdigit() else 0.0
+    retry_after_s = (decode_digits(retry_ms, MAX_RETRY_AFTER_MS) or 0) / _MS_PER_S
     return Refusal(
         _REASONS_BY_VALUE.get(reason, Reason.BAD_RESPONSE), ran, retry_after_s
     )
--- a/monsoontray/forwarding/responses.py
+++ b/monsoontray/forwarding/responses.py
@@ -8,6 +8,7 @@
 
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_unknown
 from monsoontray.decisions.servers import LoadReport
+from monsoontray.decoding.documents import decode_digits
 from monsoontray.forwarding.heads import Framing, ResponseHead, encode_header
 from monsoontray.forwarding.routes import LOAD_HEADER, RUN_TIME_HEADER
 
@@ -17,6 +18,8 @@
 WRONG_SERVER_STATUS = 421
 _MS_PER_S = 1000
 _PERCENT = 100
+#: Of the calls, slots, mean time in milliseconds and share of failures in percent.
+_MAX_LOAD_VALUES = (1_000_000, 1_000_000, 3_600_000, _PERCENT)
 _RUN_TIME = re.compile(rb"\d{1,9}\.\d")
 
 
@@ -92,9 +95,15 @@
 def decode_load(head: ResponseHead) -> LoadReport | None:
     """Return the load that a guard's response reports, if any."""
     parts = head.node_headers.get(LOAD_HEADER, b"").split()
-    if len(parts) != 4 or not all(part.isdigit() for part in parts):
+    if len(parts) != len(_MAX_LOAD_VALUES):
+        return None
+    values = [
+        decode_digits(part, maximum)
+        for part, maximum in zip(parts, _MAX_LOAD_VALUES, strict=True)
+    ]
+    calls, slots, service_ms, failure_rate = values
+    if calls is None or slots is None or service_ms is None or failure_rate is None:
         return None
-    calls, slots, service_ms, failure_rate = (int(part) for part in parts)
     run_ms = head.node_headers.get(RUN_TIME_HEADER, b"")
     # A node of an earlier version does not report the time of the route.
     run_s = float(run_ms) / _MS_PER_S if _RUN_TIME.fullmatch(run_ms) else 0.0
--- a/monsoontray/forwarding/sides.py
+++ b/monsoontray/forwarding/sides.py
@@ -11,6 +11,8 @@
 from monsoontray.decisions.outcomes import Reason, Refusal, refuse_not_run
 from monsoontray.decisions.paths import normalize_target
 from monsoontray.decisions.retries import is_idempotent_method
+from monsoontray.decoding.documents import decode_digits
+from monsoontray.decoding.values import MAX_INT64
 from monsoontray.forwarding.heads import (
     NO_EXTRA_HEADERS,
     ExtraHeaders,
@@ -36,6 +38,7 @@
     from monsoontray.forwarding.forwarder import Forwarder
 
 MAX_TIMEOUT_MS = 3_600_000
+MAX_PRIORITY = 1_000_000
 _BEARER = b"Bearer "
 
 
@@ -143,10 +146,12 @@
         return refuse_not_run(Reason.NO_SERVER)
     customer = head.node_headers.get(CUSTOMER_HEADER, b"").decode("latin-1")
     given = head.node_headers.get(PRIORITY_HEADER, b"")
-    priority = int(given) if given.isdigit() else LOWEST_PRIORITY
+    priority = decode_digits(given, MAX_PRIORITY)
+    if priority is None:
+        priority = LOWEST_PRIORITY
     timeout_s = _read_timeout(head, TIMEOUT_HEADER, forwarder.limits.call_timeout_s)
     idempotent = head.node_headers.get(IDEMPOTENT_HEADER) == b"1"
-    name = head.node_headers.get(ROUTE_HEADER, b"").decode("latin-1")
+    name = head.node_headers.get(ROUTE_HEADER, b"").decode(errors="replace")
     return GuardRoute(
         server,
         customer,
@@ -168,7 +173,5 @@
 
 def _read_timeout(head: RequestHead, name: bytes, default_s: float) -> float:
     """Return the value in seconds of a header in milliseconds, or the default."""
-    given = head.node_headers.get(name, b"")
-    if given.isdigit() and len(given) <= len(str(MAX_TIMEOUT_MS)):
-        return min(int(given), MAX_TIMEOUT_MS) / 1000
-    return default_s
+    given = decode_digits(head.node_headers.get(name, b""), MAX_INT64)
+    return default_s if given is None else min(given, MAX_TIMEOUT_MS) / 1000
--- a/monsoontray/membership/encoding.py
+++ b/monsoontray/membership/encoding.py
@@ -10,6 +10,7 @@
 from monsoontray.membership import peer_pb2
 from monsoontray.membership.errors import MalformedExchangeError
 from monsoontray.plans.model import VersionName
+from monsoontray.settings.settings import parse_address
 
 
 @dataclass(slots=True, frozen=True)
@@ -86,6 +87,8 @@
 def _decode_record(message: peer_pb2.Node) -> NodeRecord:
     if not message.node:
         raise ValueError("record has no node name")
+    parse_address(message.guard_address)
+    parse_address(message.peer_address)
     return NodeRecord(
         node=message.node,
         region=message.region,
--- a/monsoontray/metrics/service.py
+++ b/monsoontray/metrics/service.py
@@ -72,6 +72,12 @@
             "Versions that were heard of but not taken",
             registry=self.registry,
         )
+        self._refused_entries = Counter(
+            "monsoontray_entries_refused",
+            "Entries of other parties that were refused as a whole, by kind",
+            ("kind",),
+            registry=self.registry,
+        )
         self._version = Gauge(
             "monsoontray_version", "Version in force", registry=self.registry
         )
@@ -130,6 +136,10 @@
         """Count a version that was not accepted."""
         self._refused_versions.inc()
 
+    def count_refused_entry(self, kind: str) -> None:
+        """Count an entry of another party that was refused."""
+        self._refused_entries.labels(kind).inc()
+
     def set_version(self, number: int) -> None:
         """Set the number of the version in force."""
         self._version.set(number)
--- a/monsoontray/operators/service.py
+++ b/monsoontray/operators/service.py
@@ -23,6 +23,8 @@
     StoreFailed,
 )
 from monsoontray.decisions.servers import ServerRecord, ServerState
+from monsoontray.decoding.documents import decode_json
+from monsoontray.decoding.errors import DecodingError
 from monsoontray.forwarding.messages import DescribeForwarding
 from monsoontray.kernel.errors import ReplyTimeoutError
 from monsoontray.kernel.kernel import Kernel, Registration
@@ -279,8 +281,8 @@
 
 def _decode_body(schema: Any) -> Any:
     try:
-        return msgspec.json.decode(_read_body(), type=schema)
-    except msgspec.DecodeError as error:
+        return decode_json(_read_body(), schema)
+    except DecodingError as error:
         raise _BadRequestError(str(error)) from None
 
 
--- a/monsoontray/plans/encoding.py
+++ b/monsoontray/plans/encoding.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from monsoontray.decoding.documents import decode_json
+from monsoontray.decoding.errors import DecodingError
 from monsoontray.plans.errors import CorruptVersionError, InvalidListsError
 from monsoontray.plans.model import Lists, Version, VersionName
 from monsoontray.plans.validation import find_faults
@@ -26,8 +28,8 @@
     if compute_digest(content) != name.digest:
         raise CorruptVersionError(f"version {name.number} does not match its digest")
     try:
-        version = msgspec.json.decode(content, type=Version)
-    except msgspec.DecodeError as error:
+        version: Version = decode_json(content, Version)
+    except DecodingError as error:
         raise CorruptVersionError(f"version {name.number}: {error}") from error
     if version.number != name.number:
         raise CorruptVersionError(
@@ -42,8 +44,8 @@
 def decode_lists(content: bytes) -> Lists:
     """Return validated lists from an operator's JSON; raise InvalidListsError."""
     try:
-        lists = msgspec.json.decode(content, type=Lists)
-    except msgspec.DecodeError as error:
+        lists: Lists = decode_json(content, Lists)
+    except DecodingError as error:
         raise InvalidListsError([str(error)]) from error
     faults = find_faults(lists)
     if faults:
--- a/monsoontray/plans/model.py
+++ b/monsoontray/plans/model.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from monsoontray.decoding.values import Sequence
+
 
 class Customer(Struct, frozen=True, forbid_unknown_fields=True):
     """Customer with a plan and the digest of an access token."""
@@ -48,14 +50,14 @@
 class VersionName(Struct, frozen=True, forbid_unknown_fields=True):
     """Identity of a version: its number and the digest of its content."""
 
-    number: int
+    number: Sequence
     digest: str
 
 
 class Version(Struct, frozen=True, forbid_unknown_fields=True):
     """Accepted, immutable version of the lists."""
 
-    number: int
+    number: Sequence
     previous: VersionName | None
     author: str
     accepted_at: float  # seconds since the epoch
--- a/monsoontray/platform/announcements.py
+++ b/monsoontray/platform/announcements.py
@@ -6,6 +6,17 @@
 
 from monsoontray.decisions.announcements import Announcement
 from monsoontray.decisions.servers import ServerState
+from monsoontray.decoding.documents import convert_value, decode_json
+from monsoontray.decoding.errors import DecodingError
+from monsoontray.decoding.values import (
+    Label,
+    Name,
+    PositiveCount,
+    Seconds,
+    Sequence,
+    Timestamp,
+    Token,
+)
 
 _STATES = {"ready": ServerState.SERVING, "draining": ServerState.LEAVING}
 
@@ -13,30 +24,28 @@
 class HeartbeatSchema(msgspec.Struct, frozen=True):
     """JSON schema of a heartbeat."""
 
-    service: str
-    version: str
-    slots: int
+    service: Name
+    version: Label
+    slots: PositiveCount
     state: str
-    seq: int
-    cold_left_s: float = 0.0
-    born: int = 0  # start of the incarnation in milliseconds; 0 if not given
+    seq: Sequence
+    cold_left_s: Seconds = 0.0
+    born: Timestamp = 0  # start of the incarnation in milliseconds; 0 if not given
 
 
 class DeregistrationSchema(msgspec.Struct, frozen=True):
     """JSON schema of the body of a deregistration, which may be empty."""
 
-    born: int = 0  # start of the incarnation in milliseconds; 0 if not given
+    born: Timestamp = 0  # start of the incarnation in milliseconds; 0 if not given
 
 
 def decode_heartbeat(server: str, body: bytes) -> Announcement:
-    """Return the announcement; if invalid, raise msgspec.DecodeError or ValueError."""
-    heartbeat = msgspec.json.decode(body, type=HeartbeatSchema)
+    """Return the announcement; raise DecodingError."""
+    heartbeat: HeartbeatSchema = decode_json(body, HeartbeatSchema)
     if heartbeat.state not in _STATES:
-        raise ValueError(
+        raise DecodingError(
             f"'state' is {heartbeat.state!r}, not one of {', '.join(_STATES)}"
         )
-    if heartbeat.slots < 1:
-        raise ValueError(f"'slots' must be at least 1, not {heartbeat.slots}")
     return Announcement(
         server=server,
         service=heartbeat.service,
@@ -50,7 +59,17 @@
 
 
 def decode_deregistration(body: bytes) -> int:
-    """Return the start of the deregistered incarnation in ms; 0 if not given."""
+    """Return the start of the deregistered incarnation in ms; 0 if not given.
+
+    Raise DecodingError.
+    """
     if not body.strip():
         return 0
-    return msgspec.json.decode(body, type=DeregistrationSchema).born
+    deregistration: DeregistrationSchema = decode_json(body, DeregistrationSchema)
+    return deregistration.born
+
+
+def decode_server_name(text: str) -> str:
+    """Return the id of a server, which headers contain; raise DecodingError."""
+    name: str = convert_value(text, Token)
+    return name
--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -12,6 +12,9 @@
 from cherrypy._cpwsgi_server import CPWSGIServer
 from loguru import logger
 
+from monsoontray.decoding.documents import decode_digits
+from monsoontray.decoding.errors import DecodingError
+from monsoontray.decoding.values import MAX_INT64
 from monsoontray.discovery.encoding import MirrorResponse, encode_response
 from monsoontray.discovery.messages import (
     DescribeNodes,
@@ -26,6 +29,7 @@
 from monsoontray.platform.announcements import (
     decode_deregistration,
     decode_heartbeat,
+    decode_server_name,
 )
 from monsoontray.rollouts.messages import ReadEvidence
 
@@ -38,7 +42,7 @@
 THREADS_PER_SERVER = 2  # heartbeats arrive about once a second
 #: Each read that waits for changes occupies a thread; 4 more serve other requests.
 PEER_SERVER_THREADS = MAX_PENDING_READS + 4
-MAX_MIRROR_WAIT_S = 2.0  # longest wait for changes that another node may request
+MAX_MIRROR_WAIT_MS = 2_000  # longest wait for changes that another node may request
 MS_PER_S = 1000
 NO_REVISION = -1  # precedes every revision of the store
 SHUTDOWN_TIMEOUT_S = 0.2  # for requests in progress when the node stops
@@ -77,7 +81,8 @@
         body: bytes = cherrypy.request.body.fp.read(MAX_BODY_BYTES)
         try:
             build_message = _decode_call(call, of, body)
-        except (msgspec.DecodeError, ValueError) as error:
+        except DecodingError as error:
+            self._kernel.find("metrics").count_refused_entry("announcement")
             logger.bind(call=call, server=of).warning("announcement refused: {}", error)
             return _encode_response({"error": str(error)}, 400)
         try:
@@ -96,11 +101,11 @@
     @cherrypy.expose
     def mirror(self, known: str = "", wait: str = "") -> bytes:
         """Return the changes of the store since a revision, for another node."""
-        revision = int(known) if known.isdecimal() else NO_REVISION
-        wait_ms = int(wait) if wait.isdecimal() else 0
-        wait_deadline = self._kernel.clock.now() + min(
-            wait_ms / MS_PER_S, MAX_MIRROR_WAIT_S
-        )
+        revision = decode_digits(known.encode(), MAX_INT64)
+        if revision is None:
+            revision = NO_REVISION
+        wait_ms = decode_digits(wait.encode(), MAX_MIRROR_WAIT_MS) or 0
+        wait_deadline = self._kernel.clock.now() + wait_ms / MS_PER_S
         response: MirrorResponse = self._kernel.ask(
             "mirror",
             lambda reply: ReadMirror(revision, wait_deadline, reply),
@@ -206,16 +211,15 @@
     return adapter
 
 
-def _decode_call(call: str, server: str, body: bytes) -> Callable[[Any], object]:
-    if not server:
-        raise ValueError("'of' must name a backend server")
+def _decode_call(call: str, of: str, body: bytes) -> Callable[[Any], object]:
+    server = decode_server_name(of)
     if call == HEARTBEAT_CALL:
         announcement = decode_heartbeat(server, body)
         return lambda reply: ServerAnnounced(announcement, reply)
     if call == DEREGISTRATION_CALL:
         born = decode_deregistration(body)
         return lambda reply: ServerLeft(server, born, reply)
-    raise ValueError(f"'call' is {call!r}, which is not supported")
+    raise DecodingError(f"'call' is {call!r}, which is not supported")
 
 
 def _encode_response(value: object, status: int = 200) -> bytes:
--- a/monsoontray/platform/operator.py
+++ b/monsoontray/platform/operator.py
@@ -9,6 +9,10 @@
 from loguru import logger
 
 from monsoontray.decisions.routing import RouteTable
+from monsoontray.decoding.documents import decode_json
+from monsoontray.decoding.errors import DecodingError
+from monsoontray.decoding.refusals import EntryRefusals
+from monsoontray.decoding.values import Label, Name, Seconds
 from monsoontray.discovery.messages import StoreChanged, StoreListed
 from monsoontray.forwarding.messages import UpdateEvacuatedZones, UpdateRoutes
 from monsoontray.kernel.kernel import Kernel, Registration
@@ -28,9 +32,9 @@
 class RolloutOrderSchema(msgspec.Struct, frozen=True):
     """JSON schema of an order to roll out a version."""
 
-    service: str
-    target_version: str
-    period_s: float  # time from the order until the rollout should be complete
+    service: Name
+    target_version: Label
+    period_s: Seconds  # time from the order until the rollout should be complete
 
 
 class OperatorOrders(Task):
@@ -38,6 +42,9 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(NAME, kernel, handle_message)
+        metrics = kernel.find("metrics")
+        self._refused_configurations = EntryRefusals(metrics, "configuration")
+        self._refused_rollouts = EntryRefusals(metrics, "rollout-order")
         self._version = 0
         self._evacuated_zones: frozenset[str] = frozenset()
 
@@ -78,11 +85,9 @@
     def _apply_configuration(self, record: Record) -> None:
         try:
             routes = decode_routes(record.value)
-        except (msgspec.DecodeError, ValueError) as error:
+        except DecodingError as error:
             self.kernel.find("metrics").count_refused_version()
-            logger.bind(revision=record.revision).error(
-                "configuration refused, the one in force stays: {}", error
-            )
+            self._refused_configurations.report(record, error)
             return
         if routes.number <= self._version:
             return
@@ -95,9 +100,9 @@
 
     def _apply_rollout_order(self, record: Record) -> None:
         try:
-            rollout = msgspec.json.decode(record.value, type=RolloutOrderSchema)
-        except msgspec.DecodeError as error:
-            logger.bind(key=record.key).error("rollout order refused: {}", error)
+            rollout = decode_rollout_order(record.value)
+        except DecodingError as error:
+            self._refused_rollouts.report(record, error)
             return
         order = RolloutOrdered(
             record.revision, rollout.service, rollout.target_version, rollout.period_s
@@ -111,6 +116,12 @@
             logger.bind(zones=sorted(zones)).info("evacuated zones changed")
 
 
+def decode_rollout_order(value: bytes) -> RolloutOrderSchema:
+    """Return an order to roll out a version; raise DecodingError."""
+    order: RolloutOrderSchema = decode_json(value, RolloutOrderSchema)
+    return order
+
+
 @singledispatch
 def handle_message(message: Any, orders: OperatorOrders) -> None:
     """Handle a message to the operator task."""
--- a/monsoontray/platform/routes.py
+++ b/monsoontray/platform/routes.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+from monsoontray.decoding.documents import decode_json
+from monsoontray.decoding.errors import DecodingError
+from monsoontray.decoding.values import Bytes, Count, Label, Name, Rate, Seconds
 from monsoontray.routing.model import (
     CallerLimits,
     HostRoute,
@@ -14,67 +19,68 @@
 
 IDEMPOTENT_KIND = "idempotent"
 _HEXADECIMAL_BASE = 16
+HexadecimalVersion = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F]{1,15}\Z")]
 
 
 class ShareSchema(msgspec.Struct, frozen=True):
     """JSON schema of a service's share of a split route."""
 
-    service: str
-    weight: int
+    service: Name
+    weight: Count
 
 
 class RouteSchema(msgspec.Struct, frozen=True):
     """JSON schema of a route."""
 
-    name: str
-    host: str
+    name: Name
+    host: Name
     prefix: str
     kind: str
-    timeout_s: float
-    target_latency_s: float
-    priority: int
-    max_attempts: int
-    service: str = ""  # empty if the route is split
+    timeout_s: Seconds
+    target_latency_s: Seconds
+    priority: Count
+    max_attempts: Count
+    service: Label = ""  # empty if the route is split
     split: tuple[ShareSchema, ...] = ()
 
 
 class ServiceSchema(msgspec.Struct, frozen=True):
     """JSON schema of a service."""
 
-    name: str
+    name: Name
     health_path: str
-    max_conns: int
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0
+    max_conns: Count
+    cold_start_s: Seconds = 0.0
+    cold_per_s: Rate = 0.0
 
 
 class LimitsSchema(msgspec.Struct, frozen=True):
     """JSON schema of the limits for callers."""
 
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    max_header_bytes: Bytes
+    max_body_bytes: Bytes
+    header_timeout_s: Seconds
+    idle_timeout_s: Seconds
 
 
 class ConfigurationSchema(msgspec.Struct, frozen=True):
     """JSON schema of a configuration."""
 
-    version: str  # hexadecimal
+    version: HexadecimalVersion
     routes: tuple[RouteSchema, ...]
     services: tuple[ServiceSchema, ...]
     limits: LimitsSchema
 
 
 def decode_routes(value: bytes) -> RouteSet:
-    """Return the configuration; if invalid, raise msgspec.DecodeError or ValueError."""
-    document = msgspec.json.decode(value, type=ConfigurationSchema)
+    """Return the configuration; raise DecodingError."""
+    document: ConfigurationSchema = decode_json(value, ConfigurationSchema)
     service_names = {service.name for service in document.services}
     routes = tuple(_build_route(route) for route in document.routes)
     for route in routes:
         for share in route.shares:
             if share.service not in service_names:
-                raise ValueError(
+                raise DecodingError(
                     f"route {route.name!r} refers to unknown service {share.service!r}"
                 )
     limits = document.limits
@@ -105,7 +111,7 @@
     if not shares:
         shares = (Share(route.service, 1),)
     if not any(share.weight > 0 for share in shares):
-        raise ValueError(f"route {route.name!r} has no service with a positive weight")
+        raise DecodingError(f"route {route.name!r} has no positive weight")
     return HostRoute(
         name=route.name,
         host=route.host,
--- a/monsoontray/platform/store.py
+++ b/monsoontray/platform/store.py
@@ -18,6 +18,10 @@
     ReadTimeoutError,
 )
 
+from monsoontray.decoding.documents import decode_json
+from monsoontray.decoding.errors import DecodingError
+from monsoontray.decoding.values import Revision, Seconds
+from monsoontray.decoding.values import Sequence as SequenceNumber
 from monsoontray.kernel.clock import Clock
 from monsoontray.store.outcomes import (
     ABSENT,
@@ -53,7 +57,7 @@
     """JSON schema of a record, or of an event in a watch."""
 
     key: str
-    revision: int
+    revision: Revision
     value: str = ""  # base64
     removed: bool = False
 
@@ -62,7 +66,7 @@
     """JSON schema of one page of a listing."""
 
     items: tuple[ItemSchema, ...]
-    as_of: int
+    as_of: Revision
     truncated: bool = False
 
 
@@ -70,19 +74,19 @@
     """JSON schema of the response to a watch."""
 
     events: tuple[ItemSchema, ...]
-    as_of: int  # revision from which the next watch continues
+    as_of: Revision  # revision from which the next watch continues
 
 
 class AbsentSchema(msgspec.Struct, frozen=True):
     """JSON schema of the response for a key that does not exist."""
 
-    as_of: int
+    as_of: Revision
 
 
 class RevisionSchema(msgspec.Struct, frozen=True):
     """JSON schema of the response to a write."""
 
-    revision: int
+    revision: Revision
 
 
 class ConflictSchema(msgspec.Struct, frozen=True):
@@ -94,8 +98,8 @@
 class LeaseSchema(msgspec.Struct, frozen=True):
     """JSON schema of the response to a grant or renewal of a lease."""
 
-    ttl_s_time: float  # a lifetime in seconds, despite its name
-    lease: int = 0
+    ttl_s_time: Seconds  # a lifetime in seconds, despite its name
+    lease: SequenceNumber = 0
 
 
 class PlatformStoreClient:
@@ -351,6 +355,6 @@
 
 def _decode(response: urllib3.BaseHTTPResponse, schema: Any) -> Any:
     try:
-        return msgspec.json.decode(response.data, type=schema)
-    except msgspec.DecodeError:
+        return decode_json(response.data, schema)
+    except DecodingError:
         return None
--- a/monsoontray/rollouts/evidence.py
+++ b/monsoontray/rollouts/evidence.py
@@ -4,10 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
 import urllib3
 
 from monsoontray.decisions.rollouts import ServerEvidence
+from monsoontray.decoding.documents import decode_json
+from monsoontray.decoding.errors import DecodingError
 from monsoontray.discovery.messages import DescribeNodes
 from monsoontray.kernel.errors import KernelError
 
@@ -65,6 +66,9 @@
         if response.status != 200:
             return None
         try:
-            return msgspec.json.decode(response.data, type=list[ServerEvidence])
-        except msgspec.DecodeError:
+            evidence: list[ServerEvidence] = decode_json(
+                response.data, list[ServerEvidence]
+            )
+        except DecodingError:
             return None
+        return evidence
--- a/monsoontray/rollouts/service.py
+++ b/monsoontray/rollouts/service.py
@@ -16,6 +16,9 @@
     average_means,
     decide_phase,
 )
+from monsoontray.decoding.documents import decode_json
+from monsoontray.decoding.errors import DecodingError
+from monsoontray.decoding.refusals import EntryRefusals
 from monsoontray.discovery.messages import StoreChanged, StoreListed
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.kernel.task import Task
@@ -85,6 +88,7 @@
         self._client: StoreClient = kernel.find("store").open_client()
         self._decider = DeciderLease(kernel, self._client)
         self._evidence = EvidenceReader(kernel)
+        self._refusals = EntryRefusals(kernel.find("metrics"), "rollout-plan")
         self._rollouts: dict[str, Rollout] = {}
         self._plans: dict[str, tuple[RolloutPlan, int]] = {}  # as read from the store
 
@@ -151,9 +155,9 @@
 
     def _handle_plan_record(self, record: Record, now: float) -> None:
         try:
-            plan = msgspec.json.decode(record.value, type=RolloutPlan)
-        except msgspec.DecodeError as error:
-            logger.bind(key=record.key).warning("invalid rollout plan: {}", error)
+            plan = decode_plan(record)
+        except DecodingError as error:
+            self._refusals.report(record, error)
             return
         self._plans[plan.service] = (plan, record.revision)
         rollout = self._rollouts.get(plan.service)
@@ -228,6 +232,14 @@
         self.kernel.post("forwarding", UpdateRolloutPlans(plans))
 
 
+def decode_plan(record: Record) -> RolloutPlan:
+    """Return the plan in a record; raise DecodingError."""
+    plan: RolloutPlan = decode_json(record.value, RolloutPlan)
+    if record.key != PLAN_PREFIX + plan.service:
+        raise DecodingError(f"the plan is of service {plan.service!r}")
+    return plan
+
+
 @singledispatch
 def handle_message(message: Any, rollouts: Rollouts) -> None:
     """Handle a message."""
@@ -257,5 +269,5 @@
 
 def setup(kernel: Kernel) -> None:
     """Register the service."""
-    requires = ("settings", "store", "membership")
+    requires = ("settings", "metrics", "store", "membership")
     kernel.register(Registration(NAME, requires, Rollouts))
--- a/monsoontray/settings/settings.py
+++ b/monsoontray/settings/settings.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass
 from difflib import get_close_matches
 from functools import lru_cache
+from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
 
-import msgspec
-
+from monsoontray.decoding.documents import decode_json
+from monsoontray.decoding.errors import DecodingError
 from monsoontray.settings.declarations import DECLARATIONS, Declaration
 from monsoontray.settings.errors import SettingsError
 
@@ -21,6 +22,7 @@
 }
 _ACCEPTED_TYPES: dict[type, tuple[type, ...]] = {float: (int, float)}
 MS_PER_S = 1000.0
+_MAX_PORT_DIGITS = 5
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,7 +84,11 @@
     host, separator, port = text.rpartition(":")
     if not separator or not host or not port.isdecimal():
         raise ValueError(f"{text!r} is not IP:PORT")
-    number = int(port)
+    try:
+        IPv4Address(host)
+    except ValueError:
+        raise ValueError(f"{text!r} has no valid IPv4 address") from None
+    number = int(port) if len(port) <= _MAX_PORT_DIGITS else 0
     if not 0 < number < 65_536:
         raise ValueError(f"{text!r} has a port outside 1 to 65535")
     return Address(host, number)
@@ -95,8 +101,8 @@
     except OSError as error:
         raise SettingsError(f"cannot read {path}: {error.strerror}") from error
     try:
-        document = msgspec.json.decode(content)
-    except msgspec.DecodeError as error:
+        document = decode_json(content, Any)
+    except DecodingError as error:
         raise SettingsError(f"{path} is not valid JSON: {error}") from error
     return check_settings(document)
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -159,6 +159,9 @@
     def count_refused_version(self):
         self.posted["metrics"].append("refused")
 
+    def count_refused_entry(self, kind):
+        self.posted["metrics"].append(kind)
+
     def set_version(self, number):
         self.posted["metrics"].append(number)
 
--- a/tests/test_discovery/test_mirror.py
+++ b/tests/test_discovery/test_mirror.py
@@ -1,9 +1,9 @@
 from __future__ import annotations
 
-import msgspec
 import pytest
 
 from monsoontray.decisions.deltas import apply_delta
+from monsoontray.decoding.errors import DecodingError
 from monsoontray.discovery.encoding import (
     DELTA_MIN_BYTES,
     MirrorResponse,
@@ -184,5 +184,5 @@
     encoded = encode_response(mirror.build_response(3))
     assert decode_response(encoded) == mirror.build_response(3)
     for corrupt in (b"", b"x" + encoded, encoded[:-6]):
-        with pytest.raises(msgspec.DecodeError):
+        with pytest.raises(DecodingError):
             decode_response(corrupt)
--- a/tests/test_platform/test_announcements.py
+++ b/tests/test_platform/test_announcements.py
@@ -4,6 +4,7 @@
 import pytest
 
 from monsoontray.decisions.servers import ServerState
+from monsoontray.decoding.errors import DecodingError
 from monsoontray.platform.announcements import (
     decode_deregistration,
     decode_heartbeat,
@@ -40,7 +41,7 @@
     [{"state": "sleepy"}, {"slots": 0}, {"slots": "9"}, {"seq": None}, {"service": 1}],
 )
 def test_invalid_heartbeat_is_rejected(changes):
-    with pytest.raises((msgspec.DecodeError, ValueError)):
+    with pytest.raises(DecodingError):
         decode(**changes)
 
 
@@ -48,5 +49,5 @@
     assert decode_deregistration(b"") == 0
     assert decode_deregistration(b"{}") == 0
     assert decode_deregistration(b'{"born":5}') == 5
-    with pytest.raises(msgspec.DecodeError):
+    with pytest.raises(DecodingError):
         decode_deregistration(b"{")
