Send nothing of a call whose deadline passed during a pause

Cause: after a pause of the process, the events that arrived meanwhile are handled before the timers. A guard then granted a free slot, and a request or its body was sent on, although the deadline had passed. The monotonic clock also stands still while a machine is suspended, so that leases and deadlines seemed to last.

Change: a slot is refused and no byte is sent after the deadline. The clock is CLOCK_BOOTTIME.

The tests of guard and clock are new.

--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -175,6 +175,8 @@
             return refuse_not_run(Reason.SERVER_LEAVING)
         if self.closed_reason is not None:
             return refuse_not_run(self.closed_reason)
+        if now >= request.deadline:
+            return refuse_not_run(Reason.DEADLINE_PASSED)
         if not request.may_wait and self._should_divert(request.idempotent, now):
             load = self.report_load(now, request.route)
             return Refusal(Reason.SERVER_FAILING, Ran.NOT_RUN, PROBE_INTERVAL_S, load)
--- a/monsoontray/forwarding/sending.py
+++ b/monsoontray/forwarding/sending.py
@@ -100,6 +100,8 @@
 
     def on_connected(self) -> None:
         """Send what was received, or ask the caller for the body first."""
+        if self._is_expired():
+            return
         hop, head = self.hop, self._head
         assert hop is not None
         has_body = head.framing is not Framing.EMPTY and head.length != 0
@@ -169,12 +171,23 @@
     def _find_ready_upstream(self) -> UpstreamConnection | None:
         """Return the connection if parts of the body may be sent on it now."""
         upstream = self.upstream
-        if upstream is None or not upstream.connected:
+        if upstream is None or not upstream.connected or self._is_expired():
             return None
         return None if self._awaits_continue or self._awaits_caller_body else upstream
 
+    def _is_expired(self) -> bool:
+        """Return whether the deadline has passed, so that nothing more may be sent.
+
+        After a pause of the process this may be seen before the deadline's timer runs.
+        """
+        return self._forwarder.now >= self._route.deadline
+
     def _send_delayed_head(self) -> None:
-        if self._awaits_caller_body and self.upstream is not None:
+        if (
+            self._awaits_caller_body
+            and self.upstream is not None
+            and not self._is_expired()
+        ):
             self._awaits_caller_body = False
             assert self.hop is not None
             self._write_head(self.hop)
@@ -201,6 +214,8 @@
 
     def _write_all(self) -> None:
         self.may_run = True
+        if self._is_expired():
+            return
         for part in self._body.parts:
             self._write_body(part)
         if self.is_received and self._head.framing is Framing.CHUNKED:
--- a/monsoontray/kernel/clock.py
+++ b/monsoontray/kernel/clock.py
@@ -17,13 +17,17 @@
 
 
 class SystemClock:
-    """The clock of the operating system."""
+    """The clock of the operating system.
+
+    It counts the time while the machine is suspended, so that deadlines and leases
+    pass meanwhile.
+    """
 
     __slots__ = ()
 
     def now(self) -> float:
         """Return monotonic seconds."""
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall_time(self) -> float:
         """Return seconds since the epoch."""
--- a/tests/test_decisions/test_guard.py
+++ b/tests/test_decisions/test_guard.py
@@ -333,3 +333,10 @@
     guard.record_result(0.2, failed=False)
     record_failures(guard, 50)
     assert guard.service_s == pytest.approx(0.2)
+
+
+def test_call_whose_deadline_passed_during_a_pause_gets_no_free_slot():
+    guard = GuardState(RECORD, 4)
+    expired = guard.request_slot("a", SlotRequest(10.0, 0), 10.5)
+    assert expired == refuse_not_run(Reason.DEADLINE_PASSED)
+    assert guard.request_slot("b", SlotRequest(11.0, 0), 10.5) == Granted()
--- a/tests/test_forwarding/test_call_model.py
+++ b/tests/test_forwarding/test_call_model.py
@@ -64,6 +64,7 @@
              f"10.0.0.{i}:1", frozenset())
     for i in range(4)
 ]  # fmt: skip
+DEADLINE = 1.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -86,6 +87,7 @@
         self.call = call
 
     def write(self, data):
+        assert self.forwarder.now < DEADLINE, "bytes were sent after the deadline"
         self.received += data
 
     def close(self):
@@ -154,9 +156,9 @@
         self.at_guard = at_guard
         self.caller_may_send = not at_guard
         if at_guard:
-            self.route = GuardRoute(LOCAL.server, "", 1, idempotent, 1.0, "route")
+            self.route = GuardRoute(LOCAL.server, "", 1, idempotent, DEADLINE, "route")
         else:
-            self.route = EntryRoute("one", "", "", "route", 1, idempotent, 2, 1.0)
+            self.route = EntryRoute("one", "", "", "route", 1, idempotent, 2, DEADLINE)
         framing = Framing.LENGTH if self.length else Framing.EMPTY
         head = RequestHead("POST", b"/x", [], {}, "h", b"", framing, self.length,
                            True, at_guard)  # fmt: skip
@@ -231,7 +233,11 @@
     # Random events.
     def step(self):
         self.now += self.random.choice((0.0, 0.001, 0.02, 0.15))
-        self.timers.run_due(self.now)
+        # After a pause, the events that arrived meanwhile precede the timers.
+        if self.random.random() < 0.02:
+            self.now += 2 * DEADLINE
+        else:
+            self.timers.run_due(self.now)
         if self.end_count:
             return
         upstream = self.call.request.upstream
--- a/tests/test_kernel/test_kernel.py
+++ b/tests/test_kernel/test_kernel.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import time
+
 import pytest
 
 from monsoontray.kernel.clock import ManualClock, SystemClock
@@ -138,3 +140,9 @@
     kernel.post_to_kernel(TaskCrashed("a", RuntimeError("crash")))
     kernel.run()
     assert kernel.failed
+
+
+def test_clock_counts_the_time_while_the_machine_is_suspended(monkeypatch):
+    times = {time.CLOCK_MONOTONIC: 10.0, time.CLOCK_BOOTTIME: 14.0}
+    monkeypatch.setattr(time, "clock_gettime", times.__getitem__)
+    assert SystemClock().now() == 14.0
