--- a/monsoontray/configuration/messages.py
+++ b/monsoontray/configuration/messages.py
@@ -2,67 +2,59 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from monsoontray.kernel.mailbox import Reply
 from monsoontray.plans.model import Version, VersionName
 
 
-@dataclass(slots=True, frozen=True)
-class BaselineFound:
+class BaselineFound(Struct, frozen=True):
     """Report the oldest version that this node may enforce."""
 
     name: VersionName
 
 
-@dataclass(slots=True, frozen=True)
-class PeersAnswered:
+class PeersAnswered(Struct, frozen=True):
     """Report how many of the known nodes have answered since the start."""
 
     answered: int
     known: int
 
 
-@dataclass(slots=True, frozen=True)
-class VersionReported:
+class VersionReported(Struct, frozen=True):
     """Report a version that a peer has in force."""
 
     name: VersionName
     address: str
 
 
-@dataclass(slots=True, frozen=True)
-class ContentFetched:
+class ContentFetched(Struct, frozen=True):
     """Deliver the content of a version."""
 
     name: VersionName
     content: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class ContentFetchFailed:
+class ContentFetchFailed(Struct, frozen=True):
     """Report that the content of a version could not be fetched."""
 
     name: VersionName
 
 
-@dataclass(slots=True, frozen=True)
-class ReadContent:
+class ReadContent(Struct, frozen=True):
     """Request a version's content; the reply is empty if it is not in force."""
 
     name: VersionName
     reply: Reply
 
 
-@dataclass(slots=True, frozen=True)
-class DescribeConfiguration:
+class DescribeConfiguration(Struct, frozen=True):
     """Request the state of the configuration task."""
 
     reply: Reply
 
 
-@dataclass(slots=True, frozen=True)
-class ConfigurationState:
+class ConfigurationState(Struct, frozen=True):
     """Version in force at this node, with missing references and the last refusal."""
 
     name: VersionName
@@ -72,8 +64,7 @@
     refused: str  # why a newer version was refused; empty if none was
 
 
-@dataclass(slots=True, frozen=True)
-class ProposeLists:
+class ProposeLists(Struct, frozen=True):
     """Propose lists as the next version."""
 
     lists: bytes
@@ -82,37 +73,32 @@
     reply: Reply
 
 
-@dataclass(slots=True, frozen=True)
-class ReadHistory:
+class ReadHistory(Struct, frozen=True):
     """Request the latest versions, newest first."""
 
     count: int
     reply: Reply
 
 
-@dataclass(slots=True, frozen=True)
-class History:
+class History(Struct, frozen=True):
     """Latest versions, newest first."""
 
     versions: tuple[Version, ...]
 
 
-@dataclass(slots=True, frozen=True)
-class Accepted:
+class Accepted(Struct, frozen=True):
     """The proposal was accepted as a version."""
 
     name: VersionName
 
 
-@dataclass(slots=True, frozen=True)
-class Rejected:
+class Rejected(Struct, frozen=True):
     """The proposed lists are invalid; ``faults`` has a message for each fault."""
 
     faults: tuple[str, ...]
 
 
-@dataclass(slots=True, frozen=True)
-class Overtaken:
+class Overtaken(Struct, frozen=True):
     """The version that the change is based on is no longer the latest."""
 
     based_on: int
@@ -120,15 +106,13 @@
     author: str
 
 
-@dataclass(slots=True, frozen=True)
-class StoreFailed:
+class StoreFailed(Struct, frozen=True):
     """Nothing was changed because the store failed or its data is corrupt."""
 
     cause: str
 
 
-@dataclass(slots=True, frozen=True)
-class OutcomeUnknown:
+class OutcomeUnknown(Struct, frozen=True):
     """The change may or may not have been accepted."""
 
     name: VersionName
--- a/monsoontray/decisions/admission.py
+++ b/monsoontray/decisions/admission.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from monsoontray.decisions.outcomes import Reason, Refusal, refuse_not_run
 from monsoontray.plans.model import (
@@ -16,8 +17,7 @@
 )
 
 
-@dataclass(slots=True, frozen=True)
-class Admitted:
+class Admitted(Struct, frozen=True):
     """Customer, plan and destination of an admitted call."""
 
     customer: str
@@ -27,8 +27,7 @@
     resource: str
 
 
-@dataclass(slots=True, frozen=True)
-class PlanRoutes:
+class PlanRoutes(Struct, frozen=True):
     """Plan and its routes, the longest prefix first."""
 
     plan: Plan
--- a/monsoontray/decisions/adoption.py
+++ b/monsoontray/decisions/adoption.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from monsoontray.plans.model import NO_VERSION, VersionName
 
@@ -16,8 +17,7 @@
     FORK = "fork"  # a known number with another digest; never adopted
 
 
-@dataclass(slots=True, frozen=True)
-class AdoptionState:
+class AdoptionState(Struct, frozen=True):
     """Version in force and the highest version reported."""
 
     in_force: VersionName = NO_VERSION
--- a/monsoontray/decisions/announcements.py
+++ b/monsoontray/decisions/announcements.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, replace
+
+from msgspec import Struct
+from msgspec.structs import replace
 
 from monsoontray.decisions.servers import ServerRecord, ServerState
 
@@ -14,8 +16,7 @@
 _MS_PER_S = 1000
 
 
-@dataclass(slots=True, frozen=True)
-class Announcement:
+class Announcement(Struct, frozen=True):
     """Announcement of a backend server to the node on its VM."""
 
     server: str
--- a/monsoontray/decisions/bounds.py
+++ b/monsoontray/decisions/bounds.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 
+from msgspec import Struct
 
-@dataclass(slots=True, frozen=True)
-class FleetBounds:
+
+class FleetBounds(Struct, frozen=True):
     """Limits on what all nodes of a deployment do together."""
 
     retry_ratio: float = math.inf  # retries per call of a service
--- a/monsoontray/decisions/enforcement.py
+++ b/monsoontray/decisions/enforcement.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from monsoontray.decisions.admission import Entitlements
 from monsoontray.decisions.servers import ServerTable
@@ -22,8 +23,7 @@
     REFERENCES_MISSING = "references-missing"
 
 
-@dataclass(slots=True, frozen=True)
-class PendingVersion:
+class PendingVersion(Struct, frozen=True):
     """Validated version that is not in force yet."""
 
     entitlements: Entitlements
--- a/monsoontray/decisions/fleet.py
+++ b/monsoontray/decisions/fleet.py
@@ -11,10 +11,12 @@
 import enum
 import hashlib
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
 from math import ceil, log2
 from random import Random
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from monsoontray.decisions.servers import (
     Endpoint,
     ServerRecord,
@@ -39,8 +41,7 @@
     DEAD = 2
 
 
-@dataclass(slots=True, frozen=True)
-class Stamp:
+class Stamp(Struct, frozen=True):
     """Identity and age of a node's record."""
 
     node: str
@@ -56,8 +57,7 @@
         return (self.incarnation, self.sequence, int(self.state))
 
 
-@dataclass(slots=True, frozen=True)
-class NodeRecord:
+class NodeRecord(Struct, frozen=True):
     """A node and the backend servers on its VM."""
 
     node: str
@@ -77,8 +77,7 @@
         return Stamp(self.node, self.incarnation, self.sequence, self.state)
 
 
-@dataclass(slots=True, frozen=True)
-class Differences:
+class Differences(Struct, frozen=True):
     """Records that two nodes must exchange to have the same records."""
 
     ours: tuple[NodeRecord, ...]  # the peer has none or older ones
--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -5,11 +5,12 @@
 import math
 from collections import deque
 from collections.abc import Collection
-from dataclasses import dataclass
 from heapq import heappop, heappush
 from itertools import count
 from typing import Any
 
+from msgspec import Struct
+
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.rollouts import VersionSuspicion
 from monsoontray.decisions.servers import (
@@ -42,26 +43,22 @@
 RECENT_RESPONSE_S = 0.5
 
 
-@dataclass(slots=True, frozen=True)
-class ColdLimits:
+class ColdLimits(Struct, frozen=True):
     """Limit on the call rate of a cold server."""
 
     factor: float = 1.0  # of the rate that the server announces
     slack: float = 0.0  # calls a second in addition
 
 
-@dataclass(slots=True, frozen=True)
-class Granted:
+class Granted(Struct, frozen=True):
     """Outcome of a request for a slot: the call has one."""
 
 
-@dataclass(slots=True, frozen=True)
-class Queued:
+class Queued(Struct, frozen=True):
     """Outcome of a request for a slot: the call is queued."""
 
 
-@dataclass(slots=True, frozen=True)
-class SlotRequest:
+class SlotRequest(Struct, frozen=True):
     """Properties of a call that requests a slot."""
 
     deadline: float
--- a/monsoontray/decisions/marks.py
+++ b/monsoontray/decisions/marks.py
@@ -8,15 +8,15 @@
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 MAX_UPDATES_PER_EXCHANGE = 64  # changed marks
 RESENT_MARKS_PER_EXCHANGE = 4  # unchanged marks, in turn, to repair lost pushes
 PUSHES_PER_CHANGE = 4  # pushes of a changed mark
 
 
-@dataclass(slots=True, frozen=True)
-class Mark:
+class Mark(Struct, frozen=True):
     """Number of the version that a node has in force."""
 
     node: str
--- a/monsoontray/decisions/outcomes.py
+++ b/monsoontray/decisions/outcomes.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 if TYPE_CHECKING:
     from monsoontray.decisions.servers import LoadReport
 
@@ -55,15 +56,26 @@
     TOO_MANY_CONNECTIONS = "too-many-connections"
 
 
-@dataclass(slots=True, frozen=True)
-class Refusal:
+class Refusal(Struct, frozen=True):
     """Refusal of a call, as the caller or another node gets it."""
 
     reason: Reason
     ran: Ran
     retry_after_s: float = 0.0  # 0 if unknown
     #: Load of the server whose guard refused; not part of the refusal itself.
-    load: LoadReport | None = field(default=None, compare=False)
+    load: LoadReport | None = None
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Refusal):
+            return NotImplemented
+        return (self.reason, self.ran, self.retry_after_s) == (
+            other.reason,
+            other.ran,
+            other.retry_after_s,
+        )
+
+    def __hash__(self) -> int:
+        return hash((self.reason, self.ran, self.retry_after_s))
 
 
 def refuse_not_run(reason: Reason) -> Refusal:
--- a/monsoontray/decisions/retries.py
+++ b/monsoontray/decisions/retries.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from random import Random
+
+from msgspec import Struct
 
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal
 
 _IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "PUT", "DELETE", "OPTIONS"))
+#: Retry delays suggested to callers while no server or no configuration is known. A
+#: node that starts learns of both within this time. The callers that it refused
+#: meanwhile come back one after the other, as servers that started too are still cold.
+MIN_UNREADY_RETRY_S = 0.25
+MAX_UNREADY_RETRY_S = 0.5
 MIN_RETRY_S = 0.002  # time left before the deadline that another attempt needs
 
 
@@ -15,8 +22,7 @@
     return method in _IDEMPOTENT_METHODS
 
 
-@dataclass(slots=True, frozen=True)
-class Attempt:
+class Attempt(Struct, frozen=True):
     """Attempt that failed or is to be replaced."""
 
     idempotent: bool
@@ -27,15 +33,13 @@
     body_replayable: bool  # the body sent so far can be sent again
 
 
-@dataclass(slots=True, frozen=True)
-class Retry:
+class Retry(Struct, frozen=True):
     """Decision to offer the call to another server."""
 
     reason: Reason
 
 
-@dataclass(slots=True, frozen=True)
-class CutResponse:
+class CutResponse(Struct, frozen=True):
     """Decision to close the caller's connection before the response is complete."""
 
     reason: Reason
@@ -88,6 +92,11 @@
     return not is_avoided and (has_response or has_free_slot)
 
 
+def compute_unready_retry(random: Random) -> float:
+    """Return after how many seconds a caller should return to a node that starts."""
+    return random.uniform(MIN_UNREADY_RETRY_S, MAX_UNREADY_RETRY_S)
+
+
 #: Number of guards that are asked for a free slot before the call is queued. Of
 #: three servers that are each busy 7/8 of the time, often one has a free slot.
 MAX_NO_WAIT_OFFERS = 3
--- a/monsoontray/decisions/rollouts.py
+++ b/monsoontray/decisions/rollouts.py
@@ -5,9 +5,9 @@
 import enum
 import math
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
 
 import msgspec
+from msgspec import Struct
 
 from monsoontray.decisions.servers import Endpoint
 from monsoontray.decoding.values import Label, Name, Revision, Seconds, Sequence
@@ -82,8 +82,7 @@
     baseline: dict[str, Seconds] = {}
 
 
-@dataclass(slots=True, frozen=True)
-class ServerEvidence:
+class ServerEvidence(Struct, frozen=True):
     """Calls of one server, as observed by its guard."""
 
     version: Label
--- a/monsoontray/decisions/servers.py
+++ b/monsoontray/decisions/servers.py
@@ -5,9 +5,10 @@
 import enum
 import math
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
 from random import Random
 
+from msgspec import Struct
+
 #: A load report is ignored after this time, which is longer than most calls take.
 REPORT_LIFETIME_S = 0.5
 DEFAULT_SERVICE_TIME_S = 0.1  # used until a server of the service reports one
@@ -38,8 +39,7 @@
     LEAVING = "leaving"
 
 
-@dataclass(slots=True, frozen=True)
-class ServerRecord:
+class ServerRecord(Struct, frozen=True):
     """Backend server as it announced itself to its node."""
 
     server: str
@@ -54,8 +54,7 @@
     cold_per_s: float = 0.0  # calls a second that it accepts while cold
 
 
-@dataclass(slots=True, frozen=True)
-class Endpoint:
+class Endpoint(Struct, frozen=True):
     """Backend server and the address of its guard."""
 
     server: str
@@ -103,8 +102,7 @@
         return any(not resource or resource in each.resources for each in found)
 
 
-@dataclass(slots=True, frozen=True)
-class LoadReport:
+class LoadReport(Struct, frozen=True):
     """Load of a server, as the responses of its guard report it."""
 
     calls: int  # running and queued, from all nodes
@@ -114,8 +112,7 @@
     run_s: float = 0.0  # mean time of the calls of one route; 0 if unknown
 
 
-@dataclass(slots=True, frozen=True)
-class TypicalTimes:
+class TypicalTimes(Struct, frozen=True):
     """Times of servers that reported none, as means over the servers of a service."""
 
     service_s: float = DEFAULT_SERVICE_TIME_S  # of all calls
@@ -309,8 +306,7 @@
         return load
 
 
-@dataclass(slots=True, frozen=True)
-class Location:
+class Location(Struct, frozen=True):
     """Node with its region and zone."""
 
     node: str
--- a/monsoontray/decisions/sources.py
+++ b/monsoontray/decisions/sources.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from monsoontray.decisions.servers import Location
 
 if TYPE_CHECKING:
     from monsoontray.decisions.directory import ListedNode
 
 
-@dataclass(slots=True, frozen=True)
-class StoreAccess:
+class StoreAccess(Struct, frozen=True):
     """How a node reads the store: itself or through other nodes."""
 
     #: Nodes to read it through, the best first; empty if it reads the store itself.
--- a/monsoontray/discovery/messages.py
+++ b/monsoontray/discovery/messages.py
@@ -2,23 +2,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from monsoontray.decisions.announcements import Announcement
 from monsoontray.kernel.mailbox import Reply
 from monsoontray.store.outcomes import Record
 
 
-@dataclass(slots=True, frozen=True)
-class StoreListed:
+class StoreListed(Struct, frozen=True):
     """Report all records of the store whose keys have the receiver's prefixes."""
 
     records: tuple[Record, ...]
     revision: int  # of the store when it was read
 
 
-@dataclass(slots=True, frozen=True)
-class StoreChanged:
+class StoreChanged(Struct, frozen=True):
     """Report changes of the store."""
 
     records: tuple[Record, ...]
@@ -26,16 +24,14 @@
     revision: int  # of the store; all changes up to it have been reported
 
 
-@dataclass(slots=True, frozen=True)
-class ServerAnnounced:
+class ServerAnnounced(Struct, frozen=True):
     """Report an announcement of the local server; answered once it is applied."""
 
     announcement: Announcement
     reply: Reply
 
 
-@dataclass(slots=True, frozen=True)
-class ServerLeft:
+class ServerLeft(Struct, frozen=True):
     """Report that a local server has left; answered once this is applied."""
 
     server: str
@@ -43,20 +39,17 @@
     reply: Reply
 
 
-@dataclass(slots=True, frozen=True)
-class PublishNode:
+class PublishNode(Struct, frozen=True):
     """Write this node's record to the store."""
 
     value: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class WithdrawNode:
+class WithdrawNode(Struct, frozen=True):
     """Remove this node's record from the store."""
 
 
-@dataclass(slots=True, frozen=True)
-class ReadMirror:
+class ReadMirror(Struct, frozen=True):
     """Ask for the changes of the store since a revision."""
 
     known_revision: int
@@ -64,22 +57,19 @@
     reply: Reply
 
 
-@dataclass(slots=True, frozen=True)
-class StoreAccessChanged:
+class StoreAccessChanged(Struct, frozen=True):
     """Report whether this node currently reads the store itself."""
 
     reads_store: bool
 
 
-@dataclass(slots=True, frozen=True)
-class ChooseStoreAccess:
+class ChooseStoreAccess(Struct, frozen=True):
     """Ask how this node should read the store."""
 
     reply: Reply
 
 
-@dataclass(slots=True, frozen=True)
-class DescribeNodes:
+class DescribeNodes(Struct, frozen=True):
     """Ask for all nodes of the directory."""
 
     reply: Reply
--- a/monsoontray/discovery/mirror_client.py
+++ b/monsoontray/discovery/mirror_client.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from monsoontray.decisions.deltas import apply_delta
 from monsoontray.decoding.errors import DecodingError
 from monsoontray.discovery.encoding import (
@@ -42,8 +43,7 @@
 _MS_PER_S = 1000
 
 
-@dataclass(slots=True, frozen=True)
-class PeerUpdate:
+class PeerUpdate(Struct, frozen=True):
     """Content of the store or its changes, as read through another node."""
 
     revision: int
--- a/monsoontray/discovery/watch.py
+++ b/monsoontray/discovery/watch.py
@@ -44,6 +44,10 @@
 OUTAGE_WAIT_S = 0.2  # longest wait of a watch while the store is unreachable
 #: Pause after a watch that returned changes, so that related changes arrive together.
 BATCH_PAUSE_S = 0.4
+#: The same while this node starts. Nodes that start together publish their servers one
+#: after the other, and until this node has read of them, it refuses calls.
+START_BATCH_PAUSE_S = 0.1
+START_S = 1.5
 #: Longest wait of a watch on a node that others read through. If the node cannot reach
 #: the store, it reports this to them at most 0.5 s after this wait. They then have the
 #: same time again to switch to another source.
@@ -89,6 +93,7 @@
         self._is_disturbed = False  # readers or the store did not answer
         self._replay_until = 0.0  # until then the changes since the revision are few
         self._reads_store: bool | None = None  # as last reported to the mirror
+        self._started_until = self.clock.now() + START_S
 
     def stop(self, deadline: float) -> None:
         """Ask the task to end; a watch in progress ends with the process."""
@@ -179,7 +184,7 @@
         if update.revision <= known_revision:
             return now + POLL_PAUSE_S
         self._apply_update(update)
-        return now + BATCH_PAUSE_S
+        return now + self._choose_batch_pause(now)
 
     def _apply_update(self, update: PeerUpdate) -> None:
         """Post an update that was read through another node."""
@@ -220,7 +225,11 @@
         self._newest_revision = max(self._newest_revision, outcome.revision)
         self._post_changes(outcome)
         has_changes = outcome.records or outcome.removed
-        return self.clock.now() + (BATCH_PAUSE_S if has_changes else 0.0)
+        now = self.clock.now()
+        return now + self._choose_batch_pause(now) if has_changes else now
+
+    def _choose_batch_pause(self, now: float) -> float:
+        return START_BATCH_PAUSE_S if now < self._started_until else BATCH_PAUSE_S
 
     def _post_changes(self, changes: Changes) -> None:
         self._mirror_client.add_delta_bases(changes.records)
--- a/monsoontray/forwarding/attempts.py
+++ b/monsoontray/forwarding/attempts.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct
+
 from monsoontray.decisions.guard import Granted, Queued, SlotRequest
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
+from monsoontray.decisions.retries import compute_unready_retry
 from monsoontray.decisions.servers import (
     UNKNOWN_BODY_BYTES,
     Endpoint,
@@ -35,10 +37,6 @@
     from monsoontray.decisions.guard import GuardState
     from monsoontray.forwarding.call import Call
 
-#: Retry delay suggested to callers when no server is available. Servers announce
-#: themselves every second or two.
-NO_SERVER_RETRY_S = 0.3
-
 
 @singledispatch
 def start_attempt(route: Any, call: Call) -> None:
@@ -50,7 +48,8 @@
 def _(route: EntryRoute, call: Call) -> None:
     target = choose_target(route, call)
     if target is None:
-        no_server = Refusal(Reason.NO_SERVER, Ran.NOT_RUN, NO_SERVER_RETRY_S)
+        retry_s = compute_unready_retry(call.forwarder.random)
+        no_server = Refusal(Reason.NO_SERVER, Ran.NOT_RUN, retry_s)
         call.refuse(call.attempts.last_refusal or no_server)
     else:
         start_attempt_at(target, route, call)
@@ -61,8 +60,7 @@
     request_local_slot(call, route.server, route.may_wait)
 
 
-@dataclass(slots=True, frozen=True)
-class Target:
+class Target(Struct, frozen=True):
     """Server chosen for an attempt, and whether the call may wait there."""
 
     endpoint: Endpoint
@@ -82,7 +80,7 @@
     if attempts.is_no_wait():
         excluded = {*tried, *attempts.busy}
         endpoint = _choose(candidates, excluded, route, call)
-        if endpoint is not None:
+        if endpoint is not None and not _should_wait_instead(endpoint, call):
             untried_servers = {each.server for each in candidates} - excluded
             # If no other server can be asked, the call may wait at this one.
             return Target(
@@ -92,6 +90,17 @@
     return None if endpoint is None else Target(endpoint, may_wait=True)
 
 
+def _should_wait_instead(endpoint: Endpoint, call: Call) -> bool:
+    """Return whether the call should wait at a busy server rather than try this one.
+
+    If all other servers are unreachable or full, as in a zone that is cut off, the
+    call would otherwise use up its offers there and be refused.
+    """
+    forwarder = call.forwarder
+    is_avoided = forwarder.loads.is_avoided(endpoint.server, forwarder.now)
+    return is_avoided and bool(call.attempts.busy)
+
+
 def _choose(
     candidates: list[Endpoint], excluded: Collection[str], route: EntryRoute, call: Call
 ) -> Endpoint | None:
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -5,11 +5,12 @@
 import gc
 import socket
 import sys
-from dataclasses import replace
 from functools import singledispatch
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+from msgspec.structs import replace
+
 from monsoontray.decisions.admission import NO_ENTITLEMENTS
 from monsoontray.decisions.budget import RetryBudgets
 from monsoontray.decisions.outcomes import Reason, Refusal, refuse_not_run
--- a/monsoontray/forwarding/guards.py
+++ b/monsoontray/forwarding/guards.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from monsoontray.decisions.guard import RECHECK_INTERVAL_S, ColdLimits, GuardState
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.rollouts import ServerEvidence
--- a/monsoontray/forwarding/heads.py
+++ b/monsoontray/forwarding/heads.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
 from http import HTTPStatus
 
+from msgspec import Struct
+
 Headers = list[tuple[bytes, bytes]]  # names in lower case
 
 
@@ -18,8 +19,7 @@
     UNTIL_CLOSE = "until-close"
 
 
-@dataclass(slots=True, frozen=True)
-class ExtraHeaders:
+class ExtraHeaders(Struct, frozen=True):
     """Headers a node acts on in addition to those with its own prefix."""
 
     forwarded: frozenset[bytes] = frozenset()  # also forwarded
@@ -29,8 +29,7 @@
 NO_EXTRA_HEADERS = ExtraHeaders()
 
 
-@dataclass(slots=True)
-class RequestHead:
+class RequestHead(Struct):
     """Head of a request."""
 
     method: str
@@ -45,8 +44,7 @@
     expects_continue: bool
 
 
-@dataclass(slots=True)
-class ResponseHead:
+class ResponseHead(Struct):
     """Head of a response."""
 
     status: int
@@ -58,13 +56,11 @@
     keep_alive_s: float = 0.0  # timeout that the server announced; 0 if none
 
 
-@dataclass(slots=True, frozen=True)
-class EndOfMessage:
+class EndOfMessage(Struct, frozen=True):
     """Parser event: the end of a message."""
 
 
-@dataclass(slots=True, frozen=True)
-class ContinueReceived:
+class ContinueReceived(Struct, frozen=True):
     """Parser event: a "100 Continue" response, which asks for the body."""
 
 
--- a/monsoontray/forwarding/http_profile.py
+++ b/monsoontray/forwarding/http_profile.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from monsoontray.forwarding.heads import ExtraHeaders
 
 
-@dataclass(slots=True, frozen=True)
-class HttpProfile:
+class HttpProfile(Struct, frozen=True):
     """Header names, in lower case, and response rules of one HTTP interface.
 
     An empty name means that the interface has no such header.
--- a/monsoontray/forwarding/interfaces.py
+++ b/monsoontray/forwarding/interfaces.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct
+
 from monsoontray.decisions.bounds import FleetBounds
 from monsoontray.forwarding.http_profile import OWN_PROFILE, HttpProfile
 from monsoontray.forwarding.sides import GuardSide, MeshEntrySide, PlanEntrySide
@@ -16,8 +17,7 @@
 PLATFORM_INTERFACE = "platform"
 
 
-@dataclass(slots=True, frozen=True)
-class Interface:
+class Interface(Struct, frozen=True):
     """HTTP profile, sides and fleet-wide limits of a node."""
 
     http_profile: HttpProfile
--- a/monsoontray/forwarding/limits.py
+++ b/monsoontray/forwarding/limits.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from monsoontray.forwarding.parsing import HeadLimits
 
 if TYPE_CHECKING:
     from monsoontray.settings.settings import Settings
 
 
-@dataclass(slots=True, frozen=True)
-class Limits:
+class Limits(Struct, frozen=True):
     """Limits on the time and memory of callers, calls and connections."""
 
     head: HeadLimits
--- a/monsoontray/forwarding/messages.py
+++ b/monsoontray/forwarding/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from monsoontray.decisions.admission import Entitlements
 from monsoontray.decisions.routing import RouteTable
@@ -11,71 +11,61 @@
 from monsoontray.settings.settings import Address
 
 
-@dataclass(slots=True, frozen=True)
-class UpdateEntitlements:
+class UpdateEntitlements(Struct, frozen=True):
     """Put the entitlements of a configuration version into effect."""
 
     entitlements: Entitlements
 
 
-@dataclass(slots=True, frozen=True)
-class UpdateRoutes:
+class UpdateRoutes(Struct, frozen=True):
     """Put a configuration of routes into effect."""
 
     table: RouteTable
 
 
-@dataclass(slots=True, frozen=True)
-class UpdateEvacuatedZones:
+class UpdateEvacuatedZones(Struct, frozen=True):
     """Replace the set of evacuated zones, whose servers get no calls."""
 
     zones: frozenset[str]
 
 
-@dataclass(slots=True, frozen=True)
-class NodeLeaving:
+class NodeLeaving(Struct, frozen=True):
     """Announce to the other nodes that this node and its servers are leaving."""
 
 
-@dataclass(slots=True, frozen=True)
-class ServerUnconfirmed:
+class ServerUnconfirmed(Struct, frozen=True):
     """Report that a local server may have stopped or restarted."""
 
     server: str
     reason: str
 
 
-@dataclass(slots=True, frozen=True)
-class UpdateServers:
+class UpdateServers(Struct, frozen=True):
     """Replace the table of the fleet's servers."""
 
     servers: ServerTable
 
 
-@dataclass(slots=True, frozen=True)
-class LocalServer:
+class LocalServer(Struct, frozen=True):
     """Backend server on this VM and its address."""
 
     record: ServerRecord
     address: Address
 
 
-@dataclass(slots=True, frozen=True)
-class UpdateLocalServers:
+class UpdateLocalServers(Struct, frozen=True):
     """Replace the set of backend servers on this VM."""
 
     servers: tuple[LocalServer, ...]
 
 
-@dataclass(slots=True, frozen=True)
-class DescribeForwarding:
+class DescribeForwarding(Struct, frozen=True):
     """Request the state of the forwarding task."""
 
     reply: Reply
 
 
-@dataclass(slots=True, frozen=True)
-class ForwardingState:
+class ForwardingState(Struct, frozen=True):
     """Connections and calls of the forwarding task at one moment."""
 
     callers: int
--- a/monsoontray/forwarding/parsing.py
+++ b/monsoontray/forwarding/parsing.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 import httptools
+from msgspec import Struct
 
 from monsoontray.decisions.outcomes import Reason
 from monsoontray.forwarding.errors import MalformedMessageError
@@ -33,16 +32,14 @@
 _END_OF_LINE_BYTES = 2
 
 
-@dataclass(slots=True, frozen=True)
-class Malformed:
+class Malformed(Struct, frozen=True):
     """Parser event: the message is malformed, and parsing has stopped."""
 
     reason: Reason
     detail: str
 
 
-@dataclass(slots=True, frozen=True)
-class HeadLimits:
+class HeadLimits(Struct, frozen=True):
     """Limits of the head of a message."""
 
     header_count: int
--- a/monsoontray/forwarding/responses.py
+++ b/monsoontray/forwarding/responses.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_unknown
 from monsoontray.decisions.servers import LoadReport
 from monsoontray.decoding.documents import decode_digits
@@ -23,13 +24,11 @@
 _RUN_TIME = re.compile(rb"\d{1,9}\.\d")
 
 
-@dataclass(slots=True, frozen=True)
-class Mismatched:
+class Mismatched(Struct, frozen=True):
     """The response belongs to another call."""
 
 
-@dataclass(slots=True, frozen=True)
-class Accepted:
+class Accepted(Struct, frozen=True):
     """The response belongs to its call and may be forwarded."""
 
 
--- a/monsoontray/forwarding/routes.py
+++ b/monsoontray/forwarding/routes.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from monsoontray.settings.settings import Address
 
@@ -20,8 +21,7 @@
 LOWEST_PRIORITY = 9
 
 
-@dataclass(slots=True, frozen=True)
-class EntryRoute:
+class EntryRoute(Struct, frozen=True):
     """Route of an admitted call to any server of its service."""
 
     service: str
@@ -35,8 +35,7 @@
     objective: float = math.inf  # latest time of a response that meets the objective
 
 
-@dataclass(slots=True, frozen=True)
-class GuardRoute:
+class GuardRoute(Struct, frozen=True):
     """Route of another node's call to a local backend server."""
 
     server: str
@@ -54,8 +53,7 @@
         return 1
 
 
-@dataclass(slots=True, frozen=True)
-class Hop:
+class Hop(Struct, frozen=True):
     """Guard or backend server that a call is sent to next."""
 
     address: Address
--- a/monsoontray/forwarding/sides.py
+++ b/monsoontray/forwarding/sides.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct
+
 from monsoontray.decisions.admission import admit_call
-from monsoontray.decisions.outcomes import Reason, Refusal, refuse_not_run
+from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.paths import normalize_target
-from monsoontray.decisions.retries import is_idempotent_method
+from monsoontray.decisions.retries import (
+    compute_unready_retry,
+    is_idempotent_method,
+)
 from monsoontray.decoding.documents import decode_digits
 from monsoontray.decoding.values import MAX_INT64
 from monsoontray.forwarding.heads import (
@@ -42,15 +46,13 @@
 _BEARER = b"Bearer "
 
 
-@dataclass(slots=True, frozen=True)
-class PlanEntrySide:
+class PlanEntrySide(Struct, frozen=True):
     """Side for calls of partner routers, admitted by customers' plans."""
 
     extra_headers: ExtraHeaders = NO_EXTRA_HEADERS
 
 
-@dataclass(slots=True, frozen=True)
-class MeshEntrySide:
+class MeshEntrySide(Struct, frozen=True):
     """Side for calls from this VM, routed by host and path."""
 
     http_profile: HttpProfile
@@ -62,8 +64,7 @@
         return self.http_profile.get_entry_headers()
 
 
-@dataclass(slots=True, frozen=True)
-class GuardSide:
+class GuardSide(Struct, frozen=True):
     """Side for calls that other nodes send to local servers."""
 
     http_profile: HttpProfile = OWN_PROFILE
@@ -112,7 +113,8 @@
 ) -> EntryRoute | GuardRoute | Refusal:
     table = forwarder.route_table
     if table is None:
-        return refuse_not_run(Reason.NO_VERSION)
+        retry_s = compute_unready_retry(forwarder.random)
+        return Refusal(Reason.NO_VERSION, Ran.NOT_RUN, retry_s)
     if head.length > table.routes.limits.body_bytes:
         return refuse_not_run(Reason.BODY_TOO_LARGE)
     route = table.find_route(head.host, head.target.decode("latin-1"))
--- a/monsoontray/http/client.py
+++ b/monsoontray/http/client.py
@@ -4,9 +4,10 @@
 
 import select
 import socket
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from monsoontray.decoding.documents import MAX_DOCUMENT_BYTES
 from monsoontray.forwarding.heads import (
     EndOfMessage,
@@ -35,8 +36,7 @@
 CONTENT_TYPE_LINE = b"content-type: application/json\r\n"
 
 
-@dataclass(slots=True, frozen=True)
-class HttpRequest:
+class HttpRequest(Struct, frozen=True):
     """Request and the times until which its sender waits."""
 
     method: str
@@ -47,8 +47,7 @@
     body: bytes = b""  # a JSON document
 
 
-@dataclass(slots=True, frozen=True)
-class HttpResponse:
+class HttpResponse(Struct, frozen=True):
     """Complete response."""
 
     status: int
--- a/monsoontray/http/server.py
+++ b/monsoontray/http/server.py
@@ -4,7 +4,6 @@
 
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
 from http import HTTPStatus
 from queue import SimpleQueue
 from time import monotonic
@@ -12,6 +11,7 @@
 from urllib.parse import parse_qsl
 
 from cheroot.server import Gateway, HTTPServer
+from msgspec import Struct
 
 from monsoontray.logs import logger
 
@@ -29,8 +29,7 @@
 MAX_IDLE_CONNECTIONS = 1_024
 
 
-@dataclass(slots=True, frozen=True)
-class ServerRequest:
+class ServerRequest(Struct, frozen=True):
     """Request to an HTTP server of this node."""
 
     path: str
@@ -38,8 +37,7 @@
     body: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class ServerResponse:
+class ServerResponse(Struct, frozen=True):
     """Response of an HTTP server of this node."""
 
     body: bytes = b""
--- a/monsoontray/kernel/kernel.py
+++ b/monsoontray/kernel/kernel.py
@@ -4,10 +4,11 @@
 
 import enum
 from collections.abc import Callable
-from dataclasses import dataclass
 from graphlib import TopologicalSorter
 from typing import Any, Protocol
 
+from msgspec import Struct
+
 from monsoontray.kernel.clock import Clock
 from monsoontray.kernel.errors import DuplicateServiceError, UnknownServiceError
 from monsoontray.kernel.mailbox import Mailbox, Reply
@@ -38,8 +39,7 @@
     STOP_NODE = "stop-node"
 
 
-@dataclass(slots=True, frozen=True)
-class Registration:
+class Registration(Struct, frozen=True):
     """The name, factory and dependencies of a service."""
 
     name: str
--- a/monsoontray/kernel/messages.py
+++ b/monsoontray/kernel/messages.py
@@ -2,25 +2,22 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(slots=True, frozen=True)
-class Stop:
+class Stop(Struct, frozen=True):
     """Ask a task to stop before the deadline (monotonic seconds)."""
 
     deadline: float
 
 
-@dataclass(slots=True, frozen=True)
-class StopRequested:
+class StopRequested(Struct, frozen=True):
     """Ask the kernel to stop all services."""
 
     reason: str
 
 
-@dataclass(slots=True, frozen=True)
-class TaskCrashed:
+class TaskCrashed(Struct, frozen=True):
     """Report to the kernel that a task ended with an exception."""
 
     service: str
--- a/monsoontray/logs.py
+++ b/monsoontray/logs.py
@@ -6,12 +6,12 @@
 import select
 import sys
 import threading
-from dataclasses import dataclass
 from datetime import datetime
 from traceback import format_exception
 from typing import Any, Protocol
 
 import msgspec
+from msgspec import Struct
 
 #: By POSIX, a pipe that is ready accepts this many bytes at once.
 CHUNK_BYTES = select.PIPE_BUF
@@ -19,8 +19,7 @@
 _SEVERITY = {DEBUG: 10, INFO: 20, WARNING: 30, ERROR: 40}
 
 
-@dataclass(slots=True, frozen=True)
-class LogLine:
+class LogLine(Struct, frozen=True):
     """Content of one line of the log."""
 
     time: datetime
--- a/monsoontray/membership/announcements.py
+++ b/monsoontray/membership/announcements.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from monsoontray.decisions.servers import ServerState
 from monsoontray.forwarding.messages import LocalServer
--- a/monsoontray/membership/encoding.py
+++ b/monsoontray/membership/encoding.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from monsoontray.decisions.fleet import NodeRecord, NodeState, Stamp
 from monsoontray.decisions.marks import Mark
@@ -13,8 +13,7 @@
 from monsoontray.settings.settings import parse_address
 
 
-@dataclass(slots=True, frozen=True)
-class Exchange:
+class Exchange(Struct, frozen=True):
     """Content of one gossip message."""
 
     sender: str
--- a/monsoontray/membership/messages.py
+++ b/monsoontray/membership/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from monsoontray.decisions.fleet import NodeRecord
 from monsoontray.decisions.servers import ServerRecord
@@ -12,31 +12,27 @@
 from monsoontray.settings.settings import Address
 
 
-@dataclass(slots=True, frozen=True)
-class AnnounceServer:
+class AnnounceServer(Struct, frozen=True):
     """Add or renew the announcement of a backend server."""
 
     record: ServerRecord
     address: Address
 
 
-@dataclass(slots=True, frozen=True)
-class ServerLeaving:
+class ServerLeaving(Struct, frozen=True):
     """Report that a backend server is leaving and accepts no new calls."""
 
     server: str
 
 
-@dataclass(slots=True, frozen=True)
-class ExchangeReceived:
+class ExchangeReceived(Struct, frozen=True):
     """Report an exchange that a peer started, to be answered."""
 
     exchange: Exchange
     reply: Reply
 
 
-@dataclass(slots=True, frozen=True)
-class ExchangeAnswered:
+class ExchangeAnswered(Struct, frozen=True):
     """Report a peer's answer to an exchange."""
 
     node: str
@@ -44,44 +40,38 @@
     exchange: Exchange
 
 
-@dataclass(slots=True, frozen=True)
-class ExchangeFailed:
+class ExchangeFailed(Struct, frozen=True):
     """Report that a peer did not answer an exchange."""
 
     node: str
 
 
-@dataclass(slots=True, frozen=True)
-class SeedsFound:
+class SeedsFound(Struct, frozen=True):
     """Report the addresses of nodes to contact first."""
 
     addresses: tuple[str, ...]
 
 
-@dataclass(slots=True, frozen=True)
-class VersionInForce:
+class VersionInForce(Struct, frozen=True):
     """Report the version in force on this node and the routes that wait for servers."""
 
     name: VersionName
     waiting_routes: tuple[str, ...]
 
 
-@dataclass(slots=True, frozen=True)
-class WatchingChanged:
+class WatchingChanged(Struct, frozen=True):
     """Report whether this node watches the store for its zone."""
 
     watching: bool
 
 
-@dataclass(slots=True, frozen=True)
-class DescribeFleet:
+class DescribeFleet(Struct, frozen=True):
     """Ask for the records of all nodes."""
 
     reply: Reply
 
 
-@dataclass(slots=True, frozen=True)
-class FleetState:
+class FleetState(Struct, frozen=True):
     """Records of all nodes; answers DescribeFleet."""
 
     own: str
@@ -89,8 +79,7 @@
     versions: dict[str, int]  # number of the version in force, by node
 
 
-@dataclass(slots=True, frozen=True)
-class WaitForVersion:
+class WaitForVersion(Struct, frozen=True):
     """Ask for an answer once all nodes have a version in force, or at the deadline."""
 
     number: int
@@ -98,15 +87,13 @@
     reply: Reply
 
 
-@dataclass(slots=True, frozen=True)
-class NodesBehind:
+class NodesBehind(Struct, frozen=True):
     """Nodes that are not dead and have an older version than the requested one."""
 
     nodes: tuple[str, ...]
 
 
-@dataclass(slots=True, frozen=True)
-class SendExchange:
+class SendExchange(Struct, frozen=True):
     """Send an exchange to a peer."""
 
     node: str
@@ -114,22 +101,19 @@
     exchange: Exchange
 
 
-@dataclass(slots=True, frozen=True)
-class ChannelFailed:
+class ChannelFailed(Struct, frozen=True):
     """Report that a call over the channel to an address failed."""
 
     address: str
 
 
-@dataclass(slots=True, frozen=True)
-class ChannelWorked:
+class ChannelWorked(Struct, frozen=True):
     """Report a successful call over a channel on which one had failed."""
 
     address: str
 
 
-@dataclass(slots=True, frozen=True)
-class FetchFromPeer:
+class FetchFromPeer(Struct, frozen=True):
     """Fetch a version's content from a peer."""
 
     name: VersionName
--- a/monsoontray/membership/service.py
+++ b/monsoontray/membership/service.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from functools import singledispatch
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+from msgspec.structs import replace
+
 from monsoontray.configuration.messages import PeersAnswered, VersionReported
 from monsoontray.decisions.fleet import Fleet, NodeRecord, NodeState
 from monsoontray.decisions.marks import Mark, VersionMarks
--- a/monsoontray/rollouts/messages.py
+++ b/monsoontray/rollouts/messages.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from monsoontray.decisions.rollouts import RolloutPlan
 from monsoontray.kernel.mailbox import Reply
 
 
-@dataclass(slots=True, frozen=True)
-class RolloutOrdered:
+class RolloutOrdered(Struct, frozen=True):
     """The operator ordered a service to be moved to a version."""
 
     order: int  # revision of the order's record
@@ -18,22 +17,19 @@
     period_s: float
 
 
-@dataclass(slots=True, frozen=True)
-class UpdateRolloutPlans:
+class UpdateRolloutPlans(Struct, frozen=True):
     """Use these rollout plans, which replace the previous ones."""
 
     plans: tuple[RolloutPlan, ...]
 
 
-@dataclass(slots=True, frozen=True)
-class VersionSuspected:
+class VersionSuspected(Struct, frozen=True):
     """The local server is suspected to run a bad version."""
 
     service: str
 
 
-@dataclass(slots=True, frozen=True)
-class ReadEvidence:
+class ReadEvidence(Struct, frozen=True):
     """Ask for the evidence of the local guards."""
 
     reply: Reply
--- a/monsoontray/routing/model.py
+++ b/monsoontray/routing/model.py
@@ -2,19 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(slots=True, frozen=True)
-class Share:
+class Share(Struct, frozen=True):
     """Share of a route's requests that a service gets."""
 
     service: str
     weight: int
 
 
-@dataclass(slots=True, frozen=True)
-class HostRoute:
+class HostRoute(Struct, frozen=True):
     """Route of the requests for a host and path prefix."""
 
     name: str
@@ -28,8 +26,7 @@
     priority: int  # 0 is served first
 
 
-@dataclass(slots=True, frozen=True)
-class ServicePolicy:
+class ServicePolicy(Struct, frozen=True):
     """Limits and health check of the backend servers of a service."""
 
     name: str
@@ -39,8 +36,7 @@
     cold_per_s: float  # requests a second that a cold server accepts
 
 
-@dataclass(slots=True, frozen=True)
-class CallerLimits:
+class CallerLimits(Struct, frozen=True):
     """Limits on the size and the time of what a caller sends."""
 
     head_bytes: int
@@ -49,8 +45,7 @@
     idle_timeout_s: float
 
 
-@dataclass(slots=True, frozen=True)
-class RouteSet:
+class RouteSet(Struct, frozen=True):
     """Complete, numbered configuration of routes."""
 
     number: int
--- a/monsoontray/settings/declarations.py
+++ b/monsoontray/settings/declarations.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
 
-@dataclass(slots=True, frozen=True)
-class Declaration:
+
+class Declaration(Struct, frozen=True):
     """Name, type, description, default, unit and valid values of one setting."""
 
     name: str
--- a/monsoontray/settings/service.py
+++ b/monsoontray/settings/service.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct
+
 from monsoontray.kernel.kernel import CrashPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
 from monsoontray.logs import logger
@@ -21,15 +22,13 @@
 CHECK_INTERVAL_S = 5.0  # the file may change without a SIGHUP, so it is polled
 
 
-@dataclass(slots=True, frozen=True)
-class ReloadSettings:
+class ReloadSettings(Struct, frozen=True):
     """Request that the settings file is read again."""
 
     path: Path
 
 
-@dataclass(slots=True, frozen=True)
-class SettingsChanged:
+class SettingsChanged(Struct, frozen=True):
     """Report changed settings, for services to apply."""
 
     settings: Settings
--- a/monsoontray/settings/settings.py
+++ b/monsoontray/settings/settings.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from difflib import get_close_matches
 from functools import lru_cache
 from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
 
+from msgspec import Struct
+
 from monsoontray.decoding.documents import decode_json
 from monsoontray.decoding.errors import DecodingError
 from monsoontray.settings.declarations import DECLARATIONS, Declaration
@@ -26,8 +27,7 @@
 _URL_SCHEME = "http://"
 
 
-@dataclass(slots=True, frozen=True)
-class Address:
+class Address(Struct, frozen=True):
     """IP address and port."""
 
     host: str
--- a/monsoontray/store/outcomes.py
+++ b/monsoontray/store/outcomes.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 #: Revision of a key that does not exist.
 ABSENT = 0
 
 
-@dataclass(slots=True, frozen=True)
-class Record:
+class Record(Struct, frozen=True):
     """The value of a key and the revision that wrote it."""
 
     key: str
@@ -18,23 +18,20 @@
     value: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class Lease:
+class Lease(Struct, frozen=True):
     """A granted or renewed lease."""
 
     lease_id: str
     deadline: float  # monotonic seconds: time before the request plus the lifetime
 
 
-@dataclass(slots=True, frozen=True)
-class Done:
+class Done(Struct, frozen=True):
     """Outcome of a write that took effect."""
 
     revision: int
 
 
-@dataclass(slots=True, frozen=True)
-class Conflict:
+class Conflict(Struct, frozen=True):
     """Outcome of a write that found a key at another revision and had no effect."""
 
     revision: int  # highest revision that the store reported
@@ -52,27 +49,23 @@
     LEASE_EXPIRED = "lease-lapsed"
 
 
-@dataclass(slots=True, frozen=True)
-class NotDone:
+class NotDone(Struct, frozen=True):
     """Outcome of a call that certainly had no effect."""
 
     cause: Cause
 
 
-@dataclass(slots=True, frozen=True)
-class Unknown:
+class Unknown(Struct, frozen=True):
     """Outcome of a call that may or may not have taken effect."""
 
     cause: Cause
 
 
-@dataclass(slots=True, frozen=True)
-class Unchanged:
+class Unchanged(Struct, frozen=True):
     """Outcome of a watch that ended without a change."""
 
 
-@dataclass(slots=True, frozen=True)
-class Put:
+class Put(Struct, frozen=True):
     """One key to write, bound to a lease if one is given."""
 
     key: str
@@ -80,16 +73,14 @@
     lease_id: str = ""
 
 
-@dataclass(slots=True, frozen=True)
-class Listing:
+class Listing(Struct, frozen=True):
     """The records with a key prefix, and the revision to watch from."""
 
     records: tuple[Record, ...]
     revision: int
 
 
-@dataclass(slots=True, frozen=True)
-class Changes:
+class Changes(Struct, frozen=True):
     """Changes to keys with a prefix, and the revision to watch from."""
 
     records: tuple[Record, ...]
@@ -97,8 +88,7 @@
     revision: int
 
 
-@dataclass(slots=True, frozen=True)
-class Compacted:
+class Compacted(Struct, frozen=True):
     """Outcome of a watch whose start revision was compacted; list the prefix again."""
 
 
--- a/tests/test_decisions/test_announcements.py
+++ b/tests/test_decisions/test_announcements.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from monsoontray.decisions.announcements import (
     DEPARTURE_RETENTION_S,
--- a/tests/test_decisions/test_fleet.py
+++ b/tests/test_decisions/test_fleet.py
@@ -1,10 +1,10 @@
 from __future__ import annotations
 
-from dataclasses import replace
 from random import Random
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from monsoontray.decisions.fleet import (
     FAILURES_TO_SUSPECT,
--- a/tests/test_decisions/test_guard.py
+++ b/tests/test_decisions/test_guard.py
@@ -1,10 +1,9 @@
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from monsoontray.decisions.guard import (
     COLD_WINDOW_S,
--- a/tests/test_decisions/test_retries.py
+++ b/tests/test_decisions/test_retries.py
@@ -1,15 +1,21 @@
 from __future__ import annotations
 
-from dataclasses import replace
+from collections import Counter
+from random import Random
+
+from msgspec.structs import replace
 
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal
 from monsoontray.decisions.retries import (
     MAX_NO_WAIT_OFFERS,
     MAX_OFFERS,
+    MAX_UNREADY_RETRY_S,
+    MIN_UNREADY_RETRY_S,
     Attempt,
     AttemptHistory,
     CutResponse,
     Retry,
+    compute_unready_retry,
     decide_after_failure,
     may_replace,
     may_take_over,
@@ -94,3 +100,13 @@
     history.record_failure("s9", Refusal(Reason.SERVER_FAILING, Ran.NOT_RUN))
     assert "s9" in history.busy
     assert MAX_NO_WAIT_OFFERS < MAX_OFFERS
+
+
+def test_callers_of_a_starting_node_return_one_after_the_other():
+    random = Random(1)
+    delays = [compute_unready_retry(random) for _ in range(200)]
+    assert min(delays) >= MIN_UNREADY_RETRY_S
+    # None of ten equal parts of the span gets a third of the callers.
+    span = MAX_UNREADY_RETRY_S - MIN_UNREADY_RETRY_S
+    parts = Counter(int(10 * (each - MIN_UNREADY_RETRY_S) / span) for each in delays)
+    assert max(parts.values()) < len(delays) / 3
--- a/tests/test_decisions/test_rollouts.py
+++ b/tests/test_decisions/test_rollouts.py
@@ -1,9 +1,9 @@
 from __future__ import annotations
 
-from dataclasses import replace
 from random import Random
 
 import msgspec
+from msgspec.structs import replace
 
 from monsoontray.decisions.rollouts import (
     MIN_EVIDENCE_CALLS,
--- a/tests/test_discovery/test_service.py
+++ b/tests/test_discovery/test_service.py
@@ -1,9 +1,8 @@
 from __future__ import annotations
 
-from dataclasses import replace
-
 import msgspec
 import pytest
+from msgspec.structs import replace
 
 from monsoontray.decisions.announcements import Announcement, AnnouncementEffect
 from monsoontray.decisions.directory import ListedNode
--- a/tests/test_discovery/test_watch.py
+++ b/tests/test_discovery/test_watch.py
@@ -4,7 +4,13 @@
 
 from monsoontray.discovery.messages import StoreChanged, StoreListed
 from monsoontray.discovery.mirror_client import PeerUpdate
-from monsoontray.discovery.watch import OUTAGE_WAIT_S, StoreWatch
+from monsoontray.discovery.watch import (
+    BATCH_PAUSE_S,
+    OUTAGE_WAIT_S,
+    START_BATCH_PAUSE_S,
+    START_S,
+    StoreWatch,
+)
 from monsoontray.store.outcomes import Record
 from tests.fakes import FakeKernel, record_waits
 
@@ -102,3 +108,14 @@
     step(watch)
     assert kernel.pop_posted("operator") == []  # the update is not newer any more
     assert known[-1] == 60
+
+
+def test_node_that_starts_reads_the_servers_of_others_that_start_without_delay(kernel):
+    """After all power was off, nodes refused calls until the next batch of changes."""
+    watch = StoreWatch(kernel)
+    step(watch)
+    kernel.store.put("nodes/a", b"1")
+    assert step(watch) == kernel.clock.now() + START_BATCH_PAUSE_S
+    kernel.clock.advance(START_S)
+    kernel.store.put("nodes/b", b"1")
+    assert step(watch) == kernel.clock.now() + BATCH_PAUSE_S
