Count a queued call as on time only with a margin for its own time

Cause: a guard ranked a call as on time if it would end by its objective with the mean time of its route.

Change: a call counts as on time if it would be when it takes 1.6 times the mean.

--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -30,6 +30,10 @@
 #: A call that will miss its objective is queued only if it is expected to end within
 #: this share of the time until its deadline.
 LATE_WAIT_SHARE = 0.6
+#: A call counts as on time if it would be even when it takes this many times the mean.
+#: With the mean itself, the queue of an overloaded server grows until half of the
+#: calls end just after their objective.
+ON_TIME_RUN_TIMES = 1.6
 #: After this many consecutive failures a server gets no call that another server can
 #: run. If two of five calls fail, five in a row fail with a probability of 1 %.
 FAILURE_THRESHOLD = 5
@@ -193,7 +197,7 @@
         rank = (False, request.priority)
         wait_s = self._estimate_wait(rank)
         remaining_s = request.deadline - now
-        if now + wait_s + run_s > request.objective:
+        if now + wait_s + ON_TIME_RUN_TIMES * run_s > request.objective:
             rank = (True, request.priority)
             wait_s = self._estimate_wait(rank)
             remaining_s *= LATE_WAIT_SHARE
