Accept waiting connections before a stop; keep departures over a restart

Change: waiting connections are accepted first, and a connection with unread bytes is not closed as idle. A node's record names the server that left last, as leaving; the next process reads the record before it replaces it.

--- a/monsoontray/decisions/announcements.py
+++ b/monsoontray/decisions/announcements.py
@@ -41,10 +41,17 @@
 class LocalServerTracker:
     """Current announcement of the server on this VM, and incarnations that ended."""
 
-    __slots__ = ("_current", "_departures", "_ended_incarnations", "cold_until")
+    __slots__ = (
+        "_current",
+        "_departures",
+        "_ended_incarnations",
+        "_last_left",
+        "cold_until",
+    )
 
     def __init__(self) -> None:
         self._current: Announcement | None = None
+        self._last_left: Announcement | None = None
         self.cold_until = 0.0
         #: Incarnations that left or were replaced by a later one, the oldest first.
         self._ended_incarnations: dict[tuple[str, int], None] = {}
@@ -97,9 +104,31 @@
             self._ended_incarnations[(server, born)] = None
             return False
         self._mark_ended(current)
+        self._last_left = current
         self._current = None
         return True
 
+    def restore_departure(self, server: str, born: int) -> bool:
+        """Apply that an incarnation was leaving or had left in an earlier process.
+
+        Return whether it is the current one, which then counts as leaving. An
+        announcement that was sent before may arrive late, after the node's restart.
+        """
+        current = self._current
+        if not born:
+            return False
+        if current is None or (current.server, current.born) != (server, born):
+            self._ended_incarnations[(server, born)] = None
+            return False
+        if current.state is ServerState.LEAVING:
+            return False
+        self._current = replace(current, state=ServerState.LEAVING)
+        return True
+
+    def get_last_left(self) -> Announcement | None:
+        """Return the last announcement of the server that left last, if any."""
+        return self._last_left
+
     def build_record(self) -> ServerRecord | None:
         """Return the record of the server for the guard; None without a server."""
         current = self._current
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -59,15 +59,13 @@
         self._directory = NodeDirectory()
         self._local_server = LocalServerTracker()
         self._stopping = False
+        #: Until then the record of an earlier process of this node is not replaced.
+        self._is_listed = False
         self._random = Random(self._node)
         self._location = Location(
             self._node, settings.get_string("region"), settings.get_string("zone")
         )
 
-    def open(self) -> None:
-        """Publish the record of this node."""
-        self._publish()
-
     def find_next_deadline(self) -> float | None:
         """Return when the next unlisted node is removed."""
         return self._directory.find_next_deadline()
@@ -83,7 +81,8 @@
         nodes = [node for node in decoded if node is not None]
         own = [node for node in nodes if node.node == self._node]
         others = [node for node in nodes if node.node != self._node]
-        self._exceed_incarnations(own)
+        self._is_listed = True
+        self._take_over(own)
         self._directory.sync([*others, self._build_node()], self.clock.now())
         if own != [self._build_node()]:
             self._publish()
@@ -154,18 +153,7 @@
         return choose_store_access(self._location, listed, read_by_all, self._random)
 
     def _build_node(self) -> ListedNode:
-        record = self._local_server.build_record()
-        server = None
-        if record is not None:
-            leaving = record.state is ServerState.LEAVING
-            server = ListedServer(
-                record.server,
-                record.service,
-                record.version,
-                record.slots,
-                leaving,
-                record.born,
-            )
+        server = _build_server(self._local_server)
         return ListedNode(
             node=self._node,
             region=self._location.region,
@@ -189,25 +177,36 @@
     def _check_own_record(self, node: ListedNode | None) -> None:
         """Publish this node's record again if another writer has replaced it."""
         if node is not None:
-            self._exceed_incarnations((node,))
+            self._take_over((node,))
         if node is None or node.incarnation != self._incarnation:
             logger.warning("own record was replaced in the store")
             self._publish()
 
-    def _exceed_incarnations(self, own: Iterable[ListedNode]) -> None:
-        """Start a later incarnation than those that the store lists of this node.
+    def _take_over(self, own: Iterable[ListedNode]) -> None:
+        """Take over what earlier processes of this node have published.
 
-        The time of day may have gone back since the previous process started. The
-        other nodes would then ignore the records of this one.
+        Start a later incarnation: the time of day may have gone back since then, and
+        the other nodes would ignore the records of this process.
         """
-        latest = max((node.incarnation for node in own), default=0)
-        if latest > self._incarnation:
-            self._incarnation = latest + 1
+        for node in own:
+            if node.incarnation == self._incarnation:
+                continue
+            self._incarnation = max(self._incarnation, node.incarnation + 1)
+            server = node.server
+            if (
+                server is not None
+                and server.leaving
+                and self._local_server.restore_departure(server.server, server.born)
+            ):
+                logger.bind(server=server.server).info("local server is leaving")
+                self._update_guard()
+                self._update_servers()
 
     def _publish(self) -> None:
         node = self._build_node()
         self._directory.add(node)
-        self.kernel.post("publisher", PublishNode(msgspec.json.encode(node)))
+        if self._is_listed:
+            self.kernel.post("publisher", PublishNode(msgspec.json.encode(node)))
 
     def _update_guard(self) -> None:
         """Post the local server, if any, to the forwarding service."""
@@ -224,6 +223,30 @@
         )
 
 
+def _build_server(tracker: LocalServerTracker) -> ListedServer | None:
+    """Return the local server, or as leaving the one that left last.
+
+    The next process of this node learns from it which announcements are out of date.
+    """
+    record = tracker.build_record()
+    if record is not None:
+        leaving = record.state is ServerState.LEAVING
+        return ListedServer(
+            record.server,
+            record.service,
+            record.version,
+            record.slots,
+            leaving,
+            record.born,
+        )
+    left = tracker.get_last_left()
+    if left is None:
+        return None
+    return ListedServer(
+        left.server, left.service, left.version, left.slots, True, left.born
+    )
+
+
 @singledispatch
 def handle_message(message: Any, discovery: Discovery) -> None:
     """Handle a message to the discovery task."""
--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -172,8 +172,9 @@
         self._process_pending()
 
     def close_if_idle(self) -> None:
-        """Close the connection if it has no call."""
-        if not self._transactions and not self._pending_events and not self._lingering:
+        """Close the connection if it has no call and no request waits to be read."""
+        is_used = self._transactions or self._pending_events or self._lingering
+        if not is_used and not self.has_unread_bytes():
             self.close()
 
     def _find_incoming(self) -> HttpTransaction | None:
--- a/monsoontray/forwarding/connection.py
+++ b/monsoontray/forwarding/connection.py
@@ -102,6 +102,13 @@
             self.paused = False
             self._set_events(self._events | READABLE)
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes of the peer wait to be read."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def close(self) -> None:
         """Close the socket and discard buffered output."""
         if self.closed:
--- a/monsoontray/forwarding/listener.py
+++ b/monsoontray/forwarding/listener.py
@@ -33,15 +33,23 @@
 
     def handle_events(self, events: int) -> None:
         """Accept the waiting connections."""
-        for _ in range(ACCEPT_BATCH):
+        self._accept(ACCEPT_BATCH)
+
+    def close(self) -> None:
+        """Stop listening and close the socket.
+
+        Connections that wait are accepted first: the system has accepted them already,
+        and would reset them although their callers may have sent requests.
+        """
+        self._accept(BACKLOG)
+        self._forwarder.remove_socket(self._sock.fileno())
+        self._sock.close()
+
+    def _accept(self, limit: int) -> None:
+        for _ in range(limit):
             try:
                 sock, _address = self._sock.accept()
             except OSError:
                 return
             configure_socket(sock)
             self._forwarder.accept_caller(sock, self._side)
-
-    def close(self) -> None:
-        """Stop listening and close the socket."""
-        self._forwarder.remove_socket(self._sock.fileno())
-        self._sock.close()
--- a/tests/test_discovery/test_service.py
+++ b/tests/test_discovery/test_service.py
@@ -35,8 +35,8 @@
 @pytest.fixture
 def discovery(kernel):
     discovery = Discovery(kernel)
-    discovery.open()
-    kernel.pop_posted("publisher")
+    handle_message(StoreListed((), 0), discovery)
+    kernel.posted.clear()
     return discovery
 
 
@@ -116,3 +116,64 @@
 def test_stopping_node_publishes_that_it_stops(discovery, kernel):
     handle_message(NodeLeaving(), discovery)
     assert read_published(kernel)[0].stopping
+
+
+def list_own_record(discovery, record):
+    handle_message(StoreListed((record,), record.revision), discovery)
+
+
+def build_own_record(kernel, incarnation, leaving):
+    """Return a record that an earlier process of this node has published."""
+    node = build_node("node-0", incarnation, leaving=leaving)
+    server = replace(node.server, server=HEARTBEAT.server, born=HEARTBEAT.born)
+    node = replace(node, server=server)
+    return Record("nodes/node-0", 3, msgspec.json.encode(node))
+
+
+@pytest.mark.parametrize("is_late", [False, True])
+def test_restarted_node_does_not_use_a_server_that_had_left(kernel, is_late):
+    """A heartbeat that was sent before the server left may arrive after the restart."""
+    discovery = Discovery(kernel)
+    record = build_own_record(kernel, 1, leaving=True)
+    if is_late:
+        list_own_record(discovery, record)
+    announce(discovery, kernel)
+    if not is_late:
+        list_own_record(discovery, record)
+    local_servers = get_local_servers(kernel)
+    assert not local_servers or local_servers[0].record.state is ServerState.LEAVING
+    published = read_published(kernel)
+    assert all(each.server is None or each.server.leaving for each in published)
+
+
+def test_record_of_an_earlier_process_is_read_before_it_is_replaced(kernel):
+    discovery = Discovery(kernel)
+    announce(discovery, kernel)
+    assert read_published(kernel) == []
+    handle_message(StoreListed((), 1), discovery)
+    (published,) = read_published(kernel)
+    assert published.server.server == HEARTBEAT.server
+
+
+def test_server_that_left_is_published_as_leaving(discovery, kernel):
+    announce(discovery, kernel)
+    reply = Reply(kernel.clock)
+    handle_message(ServerLeft(HEARTBEAT.server, HEARTBEAT.born, reply), discovery)
+    published = read_published(kernel)[-1]
+    assert (published.server.server, published.server.leaving) == ("i-1", True)
+
+
+def test_node_whose_clock_went_back_exceeds_its_earlier_incarnation(discovery, kernel):
+    announce(discovery, kernel)
+    kernel.posted.clear()
+    future = 2**62
+    list_own_record(discovery, build_own_record(kernel, future, leaving=False))
+    assert read_published(kernel)[-1].incarnation == future + 1
+
+
+def test_own_record_that_another_writer_replaced_is_published_again(discovery, kernel):
+    announce(discovery, kernel)
+    kernel.posted.clear()
+    replaced = Record("nodes/node-0", 9, b"[]")
+    handle_message(StoreChanged((replaced,), (), 9), discovery)
+    assert read_published(kernel)[-1].server.server == "i-1"
