Look a request's route up by its prefix instead of trying all

Cause: each request was compared with the prefixes of its host one by one.

Change: the prefixes of a host are keys; the parts of the path that end with a slash are looked up, the longest first.

Result: Hypothesis compares the index with a search of all prefixes.

--- a/monsoontray/decisions/routing.py
+++ b/monsoontray/decisions/routing.py
@@ -8,19 +8,24 @@
 class RouteTable:
     """Index of one set of routes; only the round-robin weights change."""
 
-    __slots__ = ("_by_host", "_current_weights", "_policies", "routes")
+    __slots__ = (
+        "_by_host",
+        "_current_weights",
+        "_longest_prefix",
+        "_policies",
+        "routes",
+    )
 
     def __init__(self, routes: RouteSet) -> None:
         self.routes = routes
         self._policies = {policy.name: policy for policy in routes.services}
         self._current_weights: dict[str, list[float]] = {}
-        by_host: dict[str, list[HostRoute]] = {}
+        self._by_host: dict[str, dict[str, HostRoute]] = {}
         for route in routes.routes:
-            by_host.setdefault(route.host.lower(), []).append(route)
-        self._by_host = {
-            host: tuple(sorted(found, key=lambda r: len(r.prefix), reverse=True))
-            for host, found in by_host.items()
-        }
+            by_prefix = self._by_host.setdefault(route.host.lower(), {})
+            by_prefix.setdefault(route.prefix, route)
+        prefix_lengths = (len(route.prefix) for route in routes.routes)
+        self._longest_prefix = max(prefix_lengths, default=0)
 
     @property
     def number(self) -> int:
@@ -28,11 +33,20 @@
         return self.routes.number
 
     def find_route(self, host: str, target: str) -> HostRoute | None:
-        """Return the route of a host with the longest prefix of the path."""
+        """Return the route of a host with the longest prefix of the path.
+
+        Prefixes end with a slash, so only the parts of the path that do are looked up.
+        """
+        by_prefix = self._by_host.get(_drop_port(host).lower())
+        if by_prefix is None:
+            return None
         path = target.partition("?")[0]
-        for route in self._by_host.get(_drop_port(host).lower(), ()):
-            if path.startswith(route.prefix):
+        end = path.rfind("/", 0, self._longest_prefix)
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
                 return route
+            end = path.rfind("/", 0, end)
         return None
 
     def find_policy(self, service: str) -> ServicePolicy | None:
--- a/monsoontray/platform/routes.py
+++ b/monsoontray/platform/routes.py
@@ -34,7 +34,7 @@
 
     name: Name
     host: Name
-    prefix: str
+    prefix: Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?\Z")]
     kind: str
     timeout_s: Seconds
     target_latency_s: Seconds
--- a/tests/test_decisions/test_routing.py
+++ b/tests/test_decisions/test_routing.py
@@ -2,6 +2,9 @@
 
 from collections import Counter
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from monsoontray.decisions.routing import RouteTable
 from monsoontray.routing.model import (
     CallerLimits,
@@ -33,6 +36,18 @@
     assert table.find_route("nowhere", "/a/") is None
 
 
+@given(
+    st.lists(st.text("ab/", max_size=6), max_size=8),
+    st.text("ab/?", max_size=10),
+)
+def test_indexed_prefixes_match_like_a_search_of_all(prefixes, target):
+    routes = [build_route(f"r{i}", f"/{each}/") for i, each in enumerate(prefixes)]
+    path = target.partition("?")[0]
+    matching = [route for route in routes if path.startswith(route.prefix)]
+    longest = max(matching, key=lambda route: len(route.prefix), default=None)
+    assert build_table(*routes).find_route("shop.example", target) is longest
+
+
 def test_each_service_gets_its_share_over_few_requests():
     route = build_route("split", "/", Share("a", 70), Share("b", 25), Share("c", 5))
     table = build_table(route)
