Name the types of sequence numbers and totals apart

Cause: 'Sequence' read like the collection, also for counts of calls. Change: names only. Result: the tests of decoders, plans, rollouts and announcements pass (97).

--- a/monsoontray/decisions/rollouts.py
+++ b/monsoontray/decisions/rollouts.py
@@ -10,7 +10,7 @@
 from msgspec import Struct
 
 from monsoontray.decisions.servers import Endpoint
-from monsoontray.decoding.values import Label, Name, Revision, Seconds, Sequence
+from monsoontray.decoding.values import Label, Name, Revision, Seconds, Total
 
 #: Assumed probability that a call fails: with a good version while other faults occur,
 #: and with a bad version.
@@ -86,10 +86,10 @@
     """Calls of one server, as observed by its guard."""
 
     version: Label
-    calls: Sequence
+    calls: Total
     suspected: bool
     means: Mapping[str, Seconds]  # mean seconds of a call, by route
-    strikes: Sequence = 0  # number of times that the server was suspected
+    strikes: Total = 0  # number of times that the server was suspected
 
 
 class VersionSuspicion:
--- a/monsoontray/decoding/values.py
+++ b/monsoontray/decoding/values.py
@@ -28,4 +28,6 @@
 #: Milliseconds or nanoseconds since the epoch.
 Timestamp = Annotated[int, Meta(ge=0, le=MAX_INT64)]
 Revision = Annotated[int, Meta(ge=0, le=MAX_INT64)]
-Sequence = Annotated[int, Meta(ge=0, le=MAX_INT64)]
+SequenceNumber = Annotated[int, Meta(ge=0, le=MAX_INT64)]
+#: Number of events since a process started.
+Total = Annotated[int, Meta(ge=0, le=MAX_INT64)]
--- a/monsoontray/plans/model.py
+++ b/monsoontray/plans/model.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from monsoontray.decoding.values import Sequence
+from monsoontray.decoding.values import SequenceNumber
 
 
 class Customer(Struct, frozen=True, forbid_unknown_fields=True):
@@ -50,14 +50,14 @@
 class VersionName(Struct, frozen=True, forbid_unknown_fields=True):
     """Identity of a version: its number and the digest of its content."""
 
-    number: Sequence
+    number: SequenceNumber
     digest: str
 
 
 class Version(Struct, frozen=True, forbid_unknown_fields=True):
     """Accepted, immutable version of the lists."""
 
-    number: Sequence
+    number: SequenceNumber
     previous: VersionName | None
     author: str
     accepted_at: float  # seconds since the epoch
--- a/monsoontray/platform/announcements.py
+++ b/monsoontray/platform/announcements.py
@@ -13,7 +13,7 @@
     Name,
     PositiveCount,
     Seconds,
-    Sequence,
+    SequenceNumber,
     Timestamp,
     Token,
 )
@@ -28,7 +28,7 @@
     version: Label
     slots: PositiveCount
     state: str
-    seq: Sequence
+    seq: SequenceNumber
     cold_left_s: Seconds = 0.0
     born: Timestamp = 0  # start of the incarnation in milliseconds; 0 if not given
 
--- a/monsoontray/platform/store.py
+++ b/monsoontray/platform/store.py
@@ -12,8 +12,7 @@
 
 from monsoontray.decoding.documents import decode_json
 from monsoontray.decoding.errors import DecodingError
-from monsoontray.decoding.values import Revision, Seconds
-from monsoontray.decoding.values import Sequence as SequenceNumber
+from monsoontray.decoding.values import Revision, Seconds, SequenceNumber
 from monsoontray.http.client import HttpClient, HttpRequest, HttpResponse
 from monsoontray.http.errors import (
     ConnectError,
