Limit the log lines about calls without trouble to ten a second

Change: such lines have a limit of their own. Those about refusals, retries, cut and cancelled calls keep theirs, and need no reserve any more.

--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -189,7 +189,8 @@
         usable = [
             each
             for each in self.servers.find(service)
-            if each.zone not in self.evacuated_zones and self._is_usable(each)
+            if each.zone not in self.evacuated_zones
+            and (not each.unlisted or self._is_usable(each))
         ]
         return self.versions.select(service, usable, is_retry, self.random)
 
@@ -262,12 +263,10 @@
         self.guards.update_closed_guards()
 
     def _is_usable(self, endpoint: Endpoint) -> bool:
-        """Return whether a server's node is listed or responded a short time ago.
+        """Return whether the node of an unlisted server responded a short time ago.
 
         The guard of a server that is not usable is probed.
         """
-        if not endpoint.unlisted:
-            return True
         if self.loads.get_last_response_at(endpoint.server) > self.now - UNLISTED_USE_S:
             return True
         self.reachability.mark_unreachable(
--- a/monsoontray/forwarding/report.py
+++ b/monsoontray/forwarding/report.py
@@ -10,45 +10,67 @@
 from monsoontray.logs import logger
 
 if TYPE_CHECKING:
-    from monsoontray.decisions.outcomes import Reason, Refusal
+    from monsoontray.decisions.outcomes import Refusal
     from monsoontray.decisions.retries import CutResponse, Retry
     from monsoontray.forwarding.call import Call
     from monsoontray.forwarding.forwarder import Forwarder
     from monsoontray.forwarding.heads import RequestHead
 
-#: Log lines about calls per second; these use less than one percent of a core.
+#: Log lines per second about calls that were retried, refused, cut or cancelled; these
+#: use less than one percent of a core.
 LINES_PER_S = 100
 LINE_BURST = 200  # lines that may be written at once after a quiet period
-#: Lines of the burst reserved for calls that were retried, refused, cut or cancelled.
-#: Successes at the first attempt and soft refusals may not use them.
-RESERVED_LINES = 100
+#: The same for answers at the first attempt and for soft refusals, of which there are
+#: many without any trouble.
+ROUTINE_LINES_PER_S = 10
+ROUTINE_LINE_BURST = 50
+
+
+class LineLimit:
+    """Limit on the rate of log lines, as a bucket that is refilled."""
+
+    __slots__ = ("_available", "_burst", "_per_s", "_refilled_at")
+
+    def __init__(self, per_s: float, burst: float, now: float) -> None:
+        self._per_s = per_s
+        self._burst = burst
+        self._available = burst
+        self._refilled_at = now
+
+    def consume(self, now: float) -> bool:
+        """Count a line if the limit allows it; return whether it does."""
+        refill = (now - self._refilled_at) * self._per_s
+        self._available = min(self._burst, self._available + refill)
+        self._refilled_at = now
+        if self._available < 1.0:
+            return False
+        self._available -= 1.0
+        return True
 
 
 class CallReporter:
     """Counter of call events, with a rate-limited log."""
 
-    __slots__ = (
-        "_available_lines",
-        "_forwarder",
-        "_metrics",
-        "_refilled_at",
-        "_suppressed",
-    )
+    __slots__ = ("_forwarder", "_limit", "_metrics", "_routine_limit", "_suppressed")
 
     def __init__(self, forwarder: Forwarder) -> None:
         self._forwarder = forwarder
         self._metrics = forwarder.metrics
-        self._available_lines = float(LINE_BURST)
-        self._refilled_at = forwarder.now
+        now = forwarder.now
+        self._limit = LineLimit(LINES_PER_S, LINE_BURST, now)
+        self._routine_limit = LineLimit(ROUTINE_LINES_PER_S, ROUTINE_LINE_BURST, now)
         self._suppressed = 0
 
     def record_refused_call(self, refusal: Refusal, call: Call) -> None:
         """Count and log the refusal of a call."""
         reason = refusal.reason
         self._metrics.count_refusal(reason.value, refusal.ran.value)
-        reserved = _find_reserved_lines(reason)
         self._log(
-            "call refused", call, reserved, reason=reason.value, ran=refusal.ran.value
+            "call refused",
+            call,
+            is_soft_refusal(reason),
+            reason=reason.value,
+            ran=refusal.ran.value,
         )
 
     def record_refused_request(
@@ -76,8 +98,8 @@
     def record_retry(self, call: Call, retry: Retry) -> None:
         """Count and log that a call is sent to another server."""
         self._metrics.count_retry(retry.reason.value)
-        reserved = _find_reserved_lines(retry.reason)
-        self._log("call sent again", call, reserved, reason=retry.reason.value)
+        is_routine = is_soft_refusal(retry.reason)
+        self._log("call sent again", call, is_routine, reason=retry.reason.value)
 
     def record_cut_response(self, call: Call, cut: CutResponse) -> None:
         """Count and log a response that was cut short."""
@@ -94,12 +116,12 @@
         self._metrics.responses += 1
         side = get_side_name(call.route)
         self._metrics.observe_call(side, self._forwarder.now - call.started_at)
-        self._log(
-            "call answered", call, RESERVED_LINES if not call.attempts.tried else 0
-        )
+        self._log("call answered", call, not call.attempts.tried)
 
-    def _log(self, message: str, call: Call, reserved: int = 0, **fields: Any) -> None:
-        if not self._consume_line(reserved):
+    def _log(
+        self, message: str, call: Call, is_routine: bool = False, **fields: Any
+    ) -> None:
+        if not self._consume_line(is_routine):
             return
         route = call.route
         loads, now = self._forwarder.loads, self._forwarder.now
@@ -128,22 +150,13 @@
             self._suppressed = 0
         logger.bind(version=version, **fields).info(message)
 
-    def _consume_line(self, reserved: int = 0) -> bool:
-        now = self._forwarder.now
-        refill = (now - self._refilled_at) * LINES_PER_S
-        self._available_lines = min(LINE_BURST, self._available_lines + refill)
-        self._refilled_at = now
-        if self._available_lines < 1.0 + reserved:
-            self._suppressed += 1
-            self._metrics.count_suppressed_line()
-            return False
-        self._available_lines -= 1.0
-        return True
-
-
-def _find_reserved_lines(reason: Reason) -> int:
-    """Return how many lines must remain for other events when this one is logged."""
-    return RESERVED_LINES if is_soft_refusal(reason) else 0
+    def _consume_line(self, is_routine: bool = False) -> bool:
+        limit = self._routine_limit if is_routine else self._limit
+        if limit.consume(self._forwarder.now):
+            return True
+        self._suppressed += 1
+        self._metrics.count_suppressed_line()
+        return False
 
 
 @singledispatch
--- a/tests/test_forwarding/test_report.py
+++ b/tests/test_forwarding/test_report.py
@@ -9,7 +9,13 @@
 from monsoontray.decisions.outcomes import Reason, refuse_not_run
 from monsoontray.decisions.retries import AttemptHistory
 from monsoontray.decisions.servers import LoadView
-from monsoontray.forwarding.report import LINE_BURST, LINES_PER_S, CallReporter
+from monsoontray.forwarding.report import (
+    LINE_BURST,
+    LINES_PER_S,
+    ROUTINE_LINE_BURST,
+    ROUTINE_LINES_PER_S,
+    CallReporter,
+)
 from monsoontray.forwarding.routes import EntryRoute
 from monsoontray.logs import FieldsLogger
 
@@ -85,6 +91,15 @@
     assert lines[LINE_BURST]["extra"]["left_out"] == 1000 - LINE_BURST
 
 
+def test_lines_about_answered_calls_have_a_lower_limit(forwarder, lines):
+    report = CallReporter(forwarder)
+    for second in range(3):
+        forwarder.now = float(second)
+        for i in range(1000):
+            report.record_response(build_call(f"a{i}"))
+    assert len(lines) == ROUTINE_LINE_BURST + 2 * ROUTINE_LINES_PER_S
+
+
 def test_answered_calls_leave_lines_for_refused_calls(forwarder, lines):
     report = CallReporter(forwarder)
     for i in range(1000):
