End the stop of the HTTP servers at its deadline

Change: the loops are awaited until the deadline; the threads end with the process.

Result: tests/test_platform/test_endpoint.py has a server that takes longer. Whether this was the cause is not shown by it.

--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -155,6 +155,7 @@
             if settings.get_string(name)
         }
         self._peer_address = settings.get_bind_address("peer_address")
+        self._clock = kernel.clock
         self._handlers = EndpointHandlers(kernel)
         self._servers: list[EndpointServer] = []
 
@@ -172,12 +173,17 @@
             threading.Thread(target=server.serve, name=name, daemon=True).start()
 
     def stop(self, deadline: float) -> None:
-        """Stop the servers, each of which waits for its loop to end."""
-        stopping = [threading.Thread(target=each.stop) for each in self._servers]
+        """Stop the servers, each of which waits for its loop to end.
+
+        A loop that has not ended by the deadline ends with the process.
+        """
+        stopping = [
+            threading.Thread(target=each.stop, daemon=True) for each in self._servers
+        ]
         for thread in stopping:
             thread.start()
         for thread in stopping:
-            thread.join()
+            thread.join(max(0.0, deadline - self._clock.now()))
 
     def post(self, message: object) -> None:
         """Raise TypeError; the service accepts no messages."""
--- a/tests/test_platform/test_endpoint.py
+++ b/tests/test_platform/test_endpoint.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import socket
+import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 
 from bench.caller import Router, build_request
+from monsoontray.kernel.clock import SystemClock
+from monsoontray.platform.endpoint import EndpointService
+from tests.fakes import FakeKernel
 
 NODES_IN_ZONE = 64  # twice those of the grown sites
 POLL_TIMEOUT_S = 1.0  # after which nodes leave out a reader
@@ -21,6 +26,18 @@
     return node
 
 
+def test_stop_ends_at_its_deadline_although_a_server_takes_longer():
+    """A node whose calls take the whole grace period must end before it is killed."""
+    may_end = threading.Event()
+    service = EndpointService(FakeKernel())
+    service._servers = [SimpleNamespace(stop=lambda: may_end.wait(30.0))]
+    service._clock = SystemClock()
+    started_at = time.monotonic()
+    service.stop(SystemClock().now() + 0.1)
+    assert time.monotonic() - started_at < 5.0
+    may_end.set()
+
+
 def build_poll():
     return build_request("/mirror?known=-1&wait=0")
 
