End a node also if a signal does not interrupt the kernel's wait

A signal that is delivered to another thread, or that arrives just before the main thread waits for a message without a time limit, sets a flag but does not end the wait, and the handler does not run.

Change: the kernel waits for half a second at most.

--- a/monsoontray/kernel/kernel.py
+++ b/monsoontray/kernel/kernel.py
@@ -16,6 +16,7 @@
 from monsoontray.logs import logger
 
 RESTART_LIMIT = 5  # restarts of one service per window before the node stops
+MAX_WAIT_S = 0.5  # of the kernel for its next message
 RESTART_WINDOW_S = 60.0
 
 
@@ -104,7 +105,9 @@
     def run(self) -> None:
         """Supervise the services until a stop is requested or a crash is fatal."""
         while True:
-            message = self._mailbox.get(None)
+            # A signal that arrives in another thread, or just before the wait, does not
+            # interrupt it. Its handler runs when the wait ends.
+            message = self._mailbox.get(self.clock.now() + MAX_WAIT_S)
             if isinstance(message, StopRequested):
                 logger.info("stopping: {}", message.reason)
                 return
--- a/tests/test_kernel/test_kernel.py
+++ b/tests/test_kernel/test_kernel.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import signal
+import threading
 import time
 
 import pytest
@@ -146,3 +148,24 @@
     times = {time.CLOCK_MONOTONIC: 10.0, time.CLOCK_BOOTTIME: 14.0}
     monkeypatch.setattr(time, "clock_gettime", times.__getitem__)
     assert SystemClock().now() == 14.0
+
+
+def test_signal_that_does_not_interrupt_the_kernel_stops_it_all_the_same():
+    """A signal may arrive in another thread, or just before the kernel waits."""
+    kernel = Kernel(SystemClock(), 1.0)
+
+    def request_stop(number, frame):
+        kernel.post_to_kernel(StopRequested("signal"))
+
+    def send_signal():
+        time.sleep(0.2)  # until the kernel waits
+        signal.raise_signal(signal.SIGUSR1)
+        time.sleep(5.0)
+        kernel.post_to_kernel(StopRequested("too late"))
+
+    earlier = signal.signal(signal.SIGUSR1, request_stop)
+    started_at = time.monotonic()
+    threading.Thread(target=send_signal, daemon=True).start()
+    kernel.run()
+    assert time.monotonic() - started_at < 4.0
+    signal.signal(signal.SIGUSR1, earlier)
