--- a/review/harness.py
+++ b/review/harness.py
@@ -647,6 +647,10 @@
             lines.append(f"Content-Length: {len(body)}")
         self._writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
 
+    def send_raw(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        self._writer.write(data)
+
     async def receive(self) -> tuple[int, dict[str, str], bytes]:
         """Return the next answer; raise EOFError or OSError if none is complete."""
         head = await self._reader.readuntil(b"\r\n\r\n")
