--- a/review/3/case.py
+++ b/review/3/case.py
@@ -30,10 +30,12 @@
 FATAL_GAP_S = 0.7  # time until the fatal request comes again
 SEND_GAP_S = 0.05  # between two other uploads
 TRAFFIC_S = 40.0
-FATAL_BODY = b"fatal-" * 200
 ALLOWED_RETRIES = 3
-#: Bodies with a length are sent instead, to compare.
-IS_CHUNKED = os.environ.get("CHUNKED", "1") != "0"
+#: To compare: "length" for bodies with a length, "long" for bodies with a length that
+#: differ only after 20 kB.
+BODIES = os.environ.get("BODIES", "chunked")
+COMMON_PART = bytes(20_000) if BODIES == "long" else b""
+FATAL_BODY = COMMON_PART + b"fatal-" * 200
 
 
 class MortalServer(Server):
@@ -107,7 +109,7 @@
         f"X-Request-Id: {request_id}",
         f"X-Deadline-Ms: {DEADLINE_MS}",
     ]
-    if IS_CHUNKED:
+    if BODIES == "chunked":
         lines.append("Transfer-Encoding: chunked")
         body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
     else:
@@ -132,7 +134,9 @@
     while time.monotonic() < deadline:
         number = len(sent)
         request_id = f"{prefix}{number:04}"
-        body = FATAL_BODY if prefix == "fatal-" else f"photo {number}".encode() * 100
+        body = COMMON_PART + f"photo {number}".encode() * 100
+        if prefix == "fatal-":
+            body = FATAL_BODY
         node = deployment.nodes[number % MACHINES]
         sent[request_id] = time.monotonic()
         tasks.append(asyncio.ensure_future(upload(deployment, node, request_id, body)))
