Count bodies in chunks as part of a request's fingerprint

Cause: a chunked body has no length, and the sender took a length of 0 for an empty body, so all chunked requests to one target had one fingerprint, and each that completed cleared the fatal one. RequestHead says now whether a body follows.

--- a/monsoontray/forwarding/heads.py
+++ b/monsoontray/forwarding/heads.py
@@ -43,6 +43,11 @@
     keep_alive: bool
     expects_continue: bool
 
+    @property
+    def has_body(self) -> bool:
+        """Return whether a body may follow; one in chunks has no length."""
+        return self.framing is Framing.CHUNKED or self.length > 0
+
 
 class ResponseHead(Struct):
     """Head of a response."""
--- a/monsoontray/forwarding/sending.py
+++ b/monsoontray/forwarding/sending.py
@@ -74,7 +74,7 @@
         if isinstance(route, GuardRoute):  # the caller is another node
             given = head.node_headers.get(FINGERPRINT_HEADER, b"")
         self.fingerprint = RequestFingerprint(head.method, head.target, caller, given)
-        if head.framing is Framing.EMPTY or head.length == 0:
+        if not head.has_body:
             self.fingerprint.end_body()
         #: Only the head was sent; the guard has not asked for the body.
         self._awaits_continue = False
--- a/tests/test_forwarding/test_fingerprint.py
+++ b/tests/test_forwarding/test_fingerprint.py
@@ -14,6 +14,12 @@
 from monsoontray.forwarding.sending import RequestSender
 
 
+def build_head(framing, length, headers=None):
+    return RequestHead(
+        "POST", b"/x", [], headers or {}, "h", b"", framing, length, True, False
+    )
+
+
 def fingerprint(
     method="POST", target=b"/a/1", caller=b"one", given=b"", parts=(b"body",)
 ):
@@ -61,10 +67,20 @@
 def test_fingerprint_is_taken_from_nodes_only_and_not_from_clients():
     given = fingerprint().value
     headers = {FINGERPRINT_HEADER: given.encode()}
-    head = RequestHead(
-        "GET", b"/x", [], headers, "h", b"", Framing.EMPTY, 0, True, False
-    )
+    head = build_head(Framing.EMPTY, 0, headers)
     entry = EntryRoute("one", "", "", "route", 1, True, 2, 9.0)
     guard = GuardRoute("i-1", "", 1, True, 9.0, "route")
     senders = [RequestSender(None, None, head, r, b"", b"one") for r in (entry, guard)]
     assert [sender.fingerprint.value == given for sender in senders] == [False, True]
+
+
+# Requests with bodies in chunks all had the fingerprint of an empty body.
+def test_body_in_chunks_is_part_of_the_fingerprint():
+    head = build_head(Framing.CHUNKED, 0)
+    route = EntryRoute("one", "", "", "route", 1, False, 2, 9.0)
+    senders = [RequestSender(None, None, head, route, b"", b"one") for _ in range(2)]
+    for sender, body in zip(senders, (b"first", b"second"), strict=True):
+        assert sender.fingerprint.value == ""
+        sender.fingerprint.add_body(body)
+        sender.fingerprint.end_body()
+    assert senders[0].fingerprint.value != senders[1].fingerprint.value
