Count the whole body as part of a request's fingerprint

Cause: the digest ended with the first 16 KB. It now runs to the end of the body. A digest of the first 16 KB precedes it, so most calls with a known head start without their whole body, and a server that ends while a body arrives still leaves a name.

--- a/monsoontray/containment/encoding.py
+++ b/monsoontray/containment/encoding.py
@@ -8,7 +8,12 @@
 import msgspec
 from msgspec import Meta
 
-from monsoontray.decisions.containment import HEAD_LENGTH, Clearance, ServerEnd
+from monsoontray.decisions.containment import (
+    HEAD_LENGTH,
+    PREFIX_LENGTH,
+    Clearance,
+    ServerEnd,
+)
 from monsoontray.decoding.documents import decode_json
 from monsoontray.decoding.errors import DecodingError
 from monsoontray.decoding.values import Timestamp, Token
@@ -19,7 +24,8 @@
 _KEY_DIGEST_BYTES = 8
 
 Fingerprint = Annotated[
-    str, Meta(pattern=rf"^[0-9a-f]{{{2 * HEAD_LENGTH}}}\Z", max_length=64)
+    str,
+    Meta(pattern=rf"^[0-9a-f]{{{PREFIX_LENGTH}}}([0-9a-f]{{{HEAD_LENGTH}}})?\Z"),
 ]
 EndKey = Annotated[str, Meta(pattern=rf"^{END_PREFIX}[0-9a-f]{{16}}\Z")]
 
--- a/monsoontray/decisions/containment.py
+++ b/monsoontray/decisions/containment.py
@@ -12,7 +12,12 @@
 
 from msgspec import Struct
 
-HEAD_LENGTH = 16  # characters of a fingerprint that depend on the request's head only
+from monsoontray.decisions.outcomes import Ran, Reason, Refusal
+
+#: Characters of a fingerprint that depend on the request's head only, and those that
+#: depend on the first part of a long body as well.
+HEAD_LENGTH = 16
+PREFIX_LENGTH = 32
 #: Ends and evidence from which a request is refused.
 MIN_ENDS = 3
 MIN_EVIDENCE = 0.999
@@ -20,6 +25,8 @@
 COMPLETION_MEMORY_S = 10.0
 MAX_COMPLETIONS = 256  # remembered ones; the oldest are forgotten
 MAX_CONTAINED = 256  # refused requests; the oldest are forgotten
+RETRY_AFTER_S = 60.0
+CONTAINED = Refusal(Reason.POISON, Ran.NOT_RUN, RETRY_AFTER_S)
 
 
 class ServerEnd(Struct, frozen=True):
@@ -55,13 +62,14 @@
 class Containment:
     """Requests that are refused or suspected because of ends of servers."""
 
-    __slots__ = ("_completed_at", "_contained", "_heads", "_suspicions")
+    __slots__ = ("_completed_at", "_contained", "_heads", "_prefixes", "_suspicions")
 
     def __init__(self) -> None:
         self._suspicions: dict[str, Suspicion] = {}
         #: Refused requests; they stay refused when the records of the ends expire.
         self._contained: dict[str, None] = {}
         self._heads: frozenset[str] = frozenset()
+        self._prefixes: frozenset[str] = frozenset()  # of the known long fingerprints
         self._completed_at: dict[str, float] = {}
 
     def update(
@@ -97,19 +105,34 @@
             del self._contained[next(iter(self._contained))]
         known_fingerprints = suspicions.keys() | self._contained.keys()
         self._heads = frozenset(each[:HEAD_LENGTH] for each in known_fingerprints)
+        self._prefixes = frozenset(
+            each[:PREFIX_LENGTH]
+            for each in known_fingerprints
+            if len(each) > PREFIX_LENGTH
+        )
         return found
 
     def needs_fingerprint(self, head: str) -> bool:
         """Return whether a request with such a head may be refused or suspected."""
         return head in self._heads
 
+    def needs_body(self, prefix: str) -> bool:
+        """Return whether only the rest of a long body tells if it is known."""
+        return prefix in self._prefixes
+
     def is_contained(self, fingerprint: str) -> bool:
         """Return whether a request is refused."""
-        return fingerprint in self._contained and not self._is_cleared(fingerprint)
+        return any(
+            each in self._contained and not self._is_cleared(each)
+            for each in list_names(fingerprint)
+        )
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a request may have ended a server."""
-        return fingerprint in self._suspicions and not self._is_cleared(fingerprint)
+        return any(
+            each in self._suspicions and not self._is_cleared(each)
+            for each in list_names(fingerprint)
+        )
 
     def select_candidates(self, fingerprints: Iterable[str]) -> tuple[str, ...]:
         """Return the requests of an end that may be its cause: suspects, if any."""
@@ -119,9 +142,10 @@
 
     def record_completion(self, fingerprint: str, now: float) -> None:
         """Record a request that a server has run to its end."""
-        self._completed_at.pop(fingerprint, None)
-        self._completed_at[fingerprint] = now
-        if len(self._completed_at) > MAX_COMPLETIONS:
+        for each in list_names(fingerprint):
+            self._completed_at.pop(each, None)
+            self._completed_at[each] = now
+        while len(self._completed_at) > MAX_COMPLETIONS:
             del self._completed_at[next(iter(self._completed_at))]
 
     def build_clearance(self, fingerprint: str) -> Clearance | None:
@@ -150,3 +174,10 @@
         if suspicion is None:  # its ends have expired
             return True
         return completed_at > suspicion.risen_at - COMPLETION_MEMORY_S
+
+
+def list_names(fingerprint: str) -> tuple[str, ...]:
+    """Return the names by which a request is known: a long body's start, the whole."""
+    if len(fingerprint) <= PREFIX_LENGTH:
+        return (fingerprint,)
+    return (fingerprint[:PREFIX_LENGTH], fingerprint)
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -5,6 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from monsoontray.decisions.containment import CONTAINED
 from monsoontray.decisions.outcomes import (
     Ran,
     Reason,
@@ -105,7 +106,7 @@
         self._attempt_timer: Timer | None = None
         self._slot_granted_at = 0.0
         self.is_active = True  # has not ended
-        #: The first attempt starts when enough of the body has been received.
+        #: An attempt starts when enough of the body has been received.
         self._awaits_fingerprint = False
         self._deadline_timer = forwarder.timers.add(
             route.deadline, self._handle_deadline
@@ -134,11 +135,19 @@
 
     def receive_body(self, part: bytes) -> None:
         """Handle a part of the request body."""
+        was_known = bool(self.request.fingerprint.value)
+        self.request.identify(part)
+        if not was_known and self._is_contained():
+            return
         self.request.send_body(part)
         self._start_if_recognized()
 
     def receive_end(self) -> None:
         """Handle the end of the request."""
+        was_known = bool(self.request.fingerprint.value)
+        self.request.fingerprint.end_body()
+        if not was_known and self._is_contained():
+            return
         self.request.send_end()
         self._start_if_recognized()
 
@@ -323,8 +332,17 @@
         else:
             self.refuse(self.build_refusal(Reason.DEADLINE_PASSED))
 
+    def _is_contained(self) -> bool:
+        """Refuse the call if the request is contained, before its end is sent."""
+        if self.response_started or not self.forwarder.containment.is_contained(self):
+            return False
+        # A server that received a part of the request may have begun to run it.
+        is_unsent = not self.may_have_run
+        self.refuse(CONTAINED if is_unsent else self.build_refusal(Reason.POISON))
+        return True
+
     def _start_if_recognized(self) -> None:
-        if self._awaits_fingerprint and self.request.fingerprint.value:
+        if self._awaits_fingerprint and self.forwarder.containment.is_recognized(self):
             self._awaits_fingerprint = False
             self.start()
 
--- a/monsoontray/forwarding/containment.py
+++ b/monsoontray/forwarding/containment.py
@@ -8,15 +8,17 @@
 
 from monsoontray.containment.messages import RequestCleared, ServerEnded
 from monsoontray.decisions.containment import (
+    CONTAINED,
     MAX_CONTAINED,
     Clearance,
     Containment,
     ServerEnd,
+    list_names,
 )
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal
 from monsoontray.decisions.servers import ServerState
 from monsoontray.forwarding.attempts import request_local_slot
-from monsoontray.forwarding.fingerprint import HASHED_BODY_BYTES
+from monsoontray.forwarding.fingerprint import PREFIX_BODY_BYTES
 from monsoontray.forwarding.upstream import ConnectOutcome
 from monsoontray.logs import logger
 
@@ -39,8 +41,6 @@
 LOSS_MEMORY_S = 15.0
 MAX_LOSSES = 64  # of one server; the oldest are forgotten
 MAX_ENDED = 64  # servers whose ends are remembered; the oldest are forgotten
-RETRY_AFTER_S = 60.0
-CONTAINED = Refusal(Reason.POISON, Ran.NOT_RUN, RETRY_AFTER_S)
 
 
 class Losses:
@@ -105,26 +105,42 @@
 
         Otherwise it was refused, or it starts once its body has been received.
         """
-        fingerprint = call.request.fingerprint
-        if not self._containment.needs_fingerprint(fingerprint.head):
-            return True
-        if not fingerprint.value:
-            # A body that is not kept can't be read before the call starts.
-            if self._forwarder.limits.replay_buffer_bytes < HASHED_BODY_BYTES:
-                return True
+        if not self.is_recognized(call):
             call.await_fingerprint()
             return False
-        if self._containment.is_contained(fingerprint.value):
+        if self.is_contained(call):
             call.refuse(CONTAINED)
             return False
         return True
 
+    def is_recognized(self, call: Call) -> bool:
+        """Return whether enough of a request is known to start it or to refuse it.
+
+        A body that is not kept can't be read before the call starts. The end of such a
+        request is not sent if the request then turns out to be contained.
+        """
+        request = call.request
+        fingerprint = request.fingerprint
+        if fingerprint.value or not self._containment.needs_fingerprint(
+            fingerprint.head
+        ):
+            return True
+        if self._forwarder.limits.replay_buffer_bytes < PREFIX_BODY_BYTES:
+            return True
+        if fingerprint.known and not self._containment.needs_body(fingerprint.known):
+            return True
+        return not request.can_hold()
+
+    def is_contained(self, call: Call) -> bool:
+        """Return whether a call is to be refused, by what is known of its request."""
+        return self._containment.is_contained(call.request.fingerprint.known)
+
     def may_request_slot(self, call: Call, server: str, may_wait: bool) -> bool:
         """Return whether a call may request a slot of a local server.
 
         A suspect may not while another one is there. It then waits or is refused.
         """
-        fingerprint = call.request.fingerprint.value
+        fingerprint = call.request.fingerprint.known
         if self._containment.is_contained(fingerprint):
             call.fail_attempt(CONTAINED)
             return False
@@ -157,9 +173,10 @@
         if not fingerprint:
             return
         self._containment.record_completion(fingerprint, self._forwarder.now)
-        clearance = self._containment.build_clearance(fingerprint)
-        if clearance is not None:
-            self._report_clearance(clearance)
+        for name in list_names(fingerprint):
+            clearance = self._containment.build_clearance(name)
+            if clearance is not None:
+                self._report_clearance(clearance)
 
     def record_loss(self, call: Call, guard: GuardState, reason: Reason) -> None:
         """Record that the connection to a local server was lost during a call.
@@ -202,7 +219,7 @@
         record = guard.record
         if self._ended.get(record.server) == record.born:
             return None
-        fingerprint = call.request.fingerprint.value
+        fingerprint = call.request.fingerprint.known
         is_unanswered = not call.response_started and call.buffered_response is None
         if record.state is ServerState.LEAVING or not (
             call.request.may_run and is_unanswered and fingerprint
--- a/monsoontray/forwarding/fingerprint.py
+++ b/monsoontray/forwarding/fingerprint.py
@@ -5,26 +5,30 @@
 import re
 from hashlib import blake2b
 
-from monsoontray.decisions.containment import HEAD_LENGTH
+from monsoontray.decisions.containment import HEAD_LENGTH, PREFIX_LENGTH
 
 FINGERPRINT_HEADER = b"monsoontray-fingerprint"
-HASHED_BODY_BYTES = 16_384  # the rest of a body is not compared
+PREFIX_BODY_BYTES = 16_384  # a longer body has a digest of its start as well
 _DIGEST_BYTES = HEAD_LENGTH // 2
-_FINGERPRINT = re.compile(rb"[0-9a-f]{%d}" % (2 * HEAD_LENGTH))
-_EMPTY_BODY = blake2b(digest_size=_DIGEST_BYTES).hexdigest()
+_FINGERPRINT = re.compile(
+    rb"[0-9a-f]{%d}([0-9a-f]{%d})?" % (PREFIX_LENGTH, HEAD_LENGTH)
+)
 
 
 class RequestFingerprint:
     """Fingerprint of a request's method, target, caller and body.
 
-    A request that is sent again has another id, but the same fingerprint.
+    A request that is sent again has another id, but the same fingerprint. It begins
+    with a digest of the head. One of the whole body follows; in a long body, one of its
+    start precedes that, so that most requests can be told apart early.
     """
 
-    __slots__ = ("_body", "_hashed_bytes", "_value", "head")
+    __slots__ = ("_body", "_prefix", "_value", "body_bytes", "head")
 
     def __init__(self, method: str, target: bytes, caller: bytes, given: bytes) -> None:
-        self._hashed_bytes = 0
-        self._body: blake2b | None = None
+        self._body = blake2b(digest_size=_DIGEST_BYTES)
+        self.body_bytes = 0
+        self._prefix = ""
         self._value = ""
         if _FINGERPRINT.fullmatch(given):
             self._value = given.decode()
@@ -38,20 +42,29 @@
         """Return the fingerprint, or an empty string while it is not known."""
         return self._value
 
+    @property
+    def known(self) -> str:
+        """Return the fingerprint, its start without the whole body, or nothing."""
+        return self._value or self._prefix
+
     def add_body(self, part: bytes) -> None:
         """Add a part of the body."""
         if self._value:
             return
-        if self._body is None:
-            self._body = blake2b(digest_size=_DIGEST_BYTES)
-        part = part[: HASHED_BODY_BYTES - self._hashed_bytes]
+        missing = PREFIX_BODY_BYTES - self.body_bytes
+        self.body_bytes += len(part)
+        if 0 <= missing < len(part):
+            self._body.update(part[:missing])
+            self._prefix = self.head + _digest_prefix(self._body.digest())
+            part = part[missing:]
         self._body.update(part)
-        self._hashed_bytes += len(part)
-        if self._hashed_bytes == HASHED_BODY_BYTES:
-            self.end_body()
 
     def end_body(self) -> None:
-        """Complete the fingerprint, because no more of the body is compared."""
+        """Complete the fingerprint, as the whole body has been added."""
         if not self._value:
-            body = _EMPTY_BODY if self._body is None else self._body.hexdigest()
-            self._value = self.head + body
+            self._value = (self._prefix or self.head) + self._body.hexdigest()
+
+
+def _digest_prefix(digest: bytes) -> str:
+    """Return a digest that no whole body has."""
+    return blake2b(digest, digest_size=_DIGEST_BYTES, person=b"prefix").hexdigest()
--- a/monsoontray/forwarding/report.py
+++ b/monsoontray/forwarding/report.py
@@ -69,7 +69,7 @@
         self._metrics.count_refusal(reason.value, refusal.ran.value)
         fields = {"reason": reason.value, "ran": refusal.ran.value}
         if reason is Reason.POISON:
-            fields["fingerprint"] = call.request.fingerprint.value
+            fields["fingerprint"] = call.request.fingerprint.known
             fields["target"] = format_target(call.head)
         self._log("call refused", call, is_soft_refusal(reason), **fields)
 
--- a/monsoontray/forwarding/sending.py
+++ b/monsoontray/forwarding/sending.py
@@ -116,7 +116,6 @@
             return
         hop, head = self.hop, self._head
         assert hop is not None
-        has_body = head.framing is not Framing.EMPTY and head.length != 0
         if head.expects_continue and not self.is_received and not self._body.size:
             self._transaction.send_continue()
             # Delay the head for a back end until the caller has sent a part of the
@@ -125,6 +124,7 @@
         if self._awaits_caller_body:
             self._transaction.resume_reading()
             return
+        has_body = head.framing is not Framing.EMPTY and head.length != 0
         self._awaits_continue = hop.is_guard and has_body and not self._route.idempotent
         self._write_head(hop)
         if not self._awaits_continue:
@@ -144,10 +144,20 @@
             self._write_all()
             self._transaction.resume_reading()
 
+    def identify(self, part: bytes) -> None:
+        """Add a part of the body to the fingerprint, before any of it is sent."""
+        self.fingerprint.add_body(part)
+        is_sized = self._head.framing is Framing.LENGTH
+        if is_sized and self.fingerprint.body_bytes == self._head.length:
+            self.fingerprint.end_body()
+
+    def can_hold(self) -> bool:
+        """Return whether more of the body can be buffered before an attempt."""
+        return self._body.size < self._forwarder.limits.replay_buffer_bytes
+
     def send_body(self, part: bytes) -> None:
         """Buffer a part of the request body, and send it if the hop is ready."""
         limit = self._forwarder.limits.replay_buffer_bytes
-        self.fingerprint.add_body(part)
         self._send_delayed_head()
         upstream = self._find_ready_upstream()
         self._body.add(part, upstream is not None, limit)
@@ -161,7 +171,6 @@
 
     def send_end(self) -> None:
         """Record that the whole request was received, and send its end."""
-        self.fingerprint.end_body()
         self._send_delayed_head()
         self.is_received = True
         upstream = self._find_ready_upstream()
--- a/tests/test_decisions/test_containment.py
+++ b/tests/test_decisions/test_containment.py
@@ -109,6 +109,28 @@
     assert containment.needs_fingerprint(CAUSE[:16])
 
 
+LONG = CAUSE + "1" * 16
+SIBLING = CAUSE + "2" * 16  # differs in the rest of a long body only
+
+
+# A request that completed cleared one whose body differed only after 16 KB.
+def test_completion_does_not_clear_a_request_with_the_same_start_of_its_body():
+    containment = Containment()
+    containment.record_completion(SIBLING, 1.0)
+    containment.update(build_ends(*[(LONG,)] * 3), (), 2.0)
+    assert containment.is_contained(LONG)
+    assert not containment.is_contained(SIBLING)
+    assert containment.needs_body(CAUSE)
+    assert not containment.needs_body(OTHER)
+
+
+def test_request_that_ended_servers_before_its_rest_was_sent_is_refused():
+    containment = build_containment(*[(CAUSE,)] * 3)
+    assert containment.is_contained(LONG)
+    containment.record_completion(SIBLING, 1.0)
+    assert not containment.is_contained(LONG)
+
+
 def test_memory_is_bounded():
     containment = Containment()
     for i in range(2 * MAX_CONTAINED):
--- a/tests/test_forwarding/test_containment.py
+++ b/tests/test_forwarding/test_containment.py
@@ -74,8 +74,13 @@
     def __init__(self, fingerprint, may_run=True):
         head = fingerprint[:16]
         self.request = SimpleNamespace(
-            may_run=may_run, fingerprint=SimpleNamespace(value=fingerprint, head=head)
+            may_run=may_run,
+            fingerprint=SimpleNamespace(
+                value=fingerprint, known=fingerprint, head=head
+            ),
+            can_hold=lambda: self.can_hold,
         )
+        self.can_hold = True
         self.response_started = False
         self.buffered_response = None
         self.is_active = True
@@ -275,8 +280,35 @@
 ):
     suspect(containment, FIRST, ends=3)
     call = FakeCall(FIRST)
-    call.request.fingerprint.value = ""
+    call.request.fingerprint.value = call.request.fingerprint.known = ""
     assert not containment.may_start(call)
     assert call.awaits_fingerprint
     forwarder.limits.replay_buffer_bytes = 1_000  # too little to recognize bodies
     assert containment.may_start(call)
+
+
+LONG = FIRST + "e" * 16
+
+
+@pytest.mark.parametrize(
+    ("known", "starts"), [(FIRST, False), (FIRST[:16] + SECOND[:16], True)]
+)
+def test_call_awaits_the_rest_of_a_long_body_if_its_start_is_known(
+    containment, known, starts
+):
+    suspect(containment, LONG, ends=3)
+    call = FakeCall(known)
+    call.request.fingerprint.value = ""
+    assert containment.may_start(call) == starts
+    assert call.awaits_fingerprint != starts
+    call.can_hold = False  # the rest is passed on while it arrives
+    assert containment.is_recognized(call)
+    call.request.fingerprint.value = call.request.fingerprint.known = LONG
+    assert containment.is_contained(call)
+
+
+def test_call_without_a_known_end_is_not_held_up(containment):
+    suspect(containment, LONG, ends=3)
+    call = FakeCall(SECOND)
+    call.request.fingerprint.value = call.request.fingerprint.known = ""
+    assert containment.may_start(call)
