--- a/monsoontray/forwarding/sending.py
+++ b/monsoontray/forwarding/sending.py
@@ -124,8 +124,9 @@
         if self._awaits_caller_body:
             self._transaction.resume_reading()
             return
-        has_body = head.framing is not Framing.EMPTY and head.length != 0
-        self._awaits_continue = hop.is_guard and has_body and not self._route.idempotent
+        self._awaits_continue = (
+            hop.is_guard and head.has_body and not self._route.idempotent
+        )
         self._write_head(hop)
         if not self._awaits_continue:
             self._write_all()
--- /dev/null
+++ b/tests/test_forwarding/test_sending.py
@@ -0,0 +1,66 @@
+"""Requests as they are sent to another node, without sockets."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from monsoontray.forwarding.heads import Framing, RequestHead
+from monsoontray.forwarding.http_profile import OWN_PROFILE
+from monsoontray.forwarding.routes import EntryRoute, Hop
+from monsoontray.forwarding.sending import RequestSender
+
+HOP = Hop(("127.0.0.1", 9), True, ())
+
+
+class FakeUpstream:
+    """Connection to another node that records what is written."""
+
+    def __init__(self):
+        self.connected = True
+        self.unsent_bytes = 0
+        self.written = b""
+
+    def begin_call(self, call, method):
+        pass
+
+    def write(self, data):
+        self.written += data
+
+
+@pytest.fixture
+def upstream():
+    return FakeUpstream()
+
+
+def start_request(upstream, framing, length):
+    forwarder = SimpleNamespace(
+        now=0.0,
+        pool=SimpleNamespace(acquire=lambda address: upstream),
+        http_profile=OWN_PROFILE,
+        limits=SimpleNamespace(replay_buffer_bytes=1_000, stream_buffer_bytes=1_000),
+    )
+    transaction = SimpleNamespace(resume_reading=lambda: None)
+    head = RequestHead("POST", b"/x", [], {}, "h", b"", framing, length, True, False)
+    route = EntryRoute("one", "", "", "route", 1, False, 2, 9.0)
+    sender = RequestSender(forwarder, transaction, head, route, b"", b"one")
+    sender.start(None, HOP)
+    return sender
+
+
+# The body of an order in chunks was sent to a node that had not asked for it, so the
+# order counted as run when that node was lost.
+@pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKED])
+def test_body_of_an_order_is_sent_to_another_node_when_it_asks(upstream, framing):
+    sender = start_request(upstream, framing, 5 if framing is Framing.LENGTH else 0)
+    sender.send_body(b"order")
+    sender.send_end()
+    assert b"expect: 100-continue" in upstream.written
+    assert upstream.written.endswith(b"\r\n\r\n")
+    assert b"order" not in upstream.written
+    assert not sender.may_run
+    sender.handle_continue()
+    assert b"order" in upstream.written
+    assert sender.may_run
+    assert sender.is_complete
