Keep the Host header when the Connection header lists it

The node dropped Host from the request that it passed on; the server refused that, and the caller got 502.

--- a/monsoontray/forwarding/framing.py
+++ b/monsoontray/forwarding/framing.py
@@ -77,11 +77,14 @@
         return sum(map(len, self.lines)) + node_bytes
 
     def drop_connection_options(self) -> None:
-        """Remove the headers that the Connection header lists as hop-by-hop."""
+        """Remove the headers that the Connection header lists as hop-by-hop.
+
+        The Host header stays, because no request is valid without it.
+        """
         for name, value in self.hop_by_hop:
             if name == b"connection" and value.lower() not in _PERSISTENCE_OPTIONS:
-                tokens = (token.strip().lower() for token in value.split(b","))
-                prefixes = tuple(token + b": " for token in tokens if token)
+                tokens = {token.strip().lower() for token in value.split(b",")}
+                prefixes = tuple(each + b": " for each in tokens - {b"", b"host"})
                 self.lines = [
                     line for line in self.lines if not line.startswith(prefixes)
                 ]
--- a/tests/test_forwarding/test_parsing.py
+++ b/tests/test_forwarding/test_parsing.py
@@ -56,6 +56,12 @@
     assert head.node_headers == {b"monsoontray-customer": b"forged"}
 
 
+# A request without Host was sent to the server, which refused it: the caller got 502.
+def test_host_is_forwarded_though_the_connection_header_lists_it():
+    head = parse(START + b"Connection: host, x-secret\r\nX-Secret: 1\r\n\r\n")[0]
+    assert head.lines == [b"host: shop\r\n"]
+
+
 def test_pipelined_requests_can_arrive_byte_by_byte():
     raw = START + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: x\r\n\r\n"
     parser = RequestParser(LIMITS)
