Write records of ended servers in a task of its own

One cause of two: the containment task waited up to a second in each call to the store, and until it returned the node acted on no further end, not even of its own server. The records' task now waits for nobody; the writer owns the client, the lease and what is not written yet.

--- a/monsoontray/containment/messages.py
+++ b/monsoontray/containment/messages.py
@@ -24,3 +24,9 @@
 
     ends: dict[str, ServerEnd]  # by key
     clearances: tuple[Clearance, ...]
+
+
+class WriteRecords(Struct, frozen=True):
+    """Write records to the store."""
+
+    values: dict[str, bytes]  # by key
--- a/monsoontray/containment/service.py
+++ b/monsoontray/containment/service.py
@@ -1,4 +1,4 @@
-"""The task that shares what ended servers were running with the other nodes."""
+"""The task that keeps what ended servers of the fleet were running."""
 
 from __future__ import annotations
 
@@ -19,187 +19,176 @@
     RequestCleared,
     ServerEnded,
     UpdateContainment,
+    WriteRecords,
 )
-from monsoontray.decisions.backoff import compute_retry_time
+from monsoontray.decisions.containment import Clearance
 from monsoontray.decoding.errors import DecodingError
 from monsoontray.decoding.refusals import EntryRefusals
 from monsoontray.discovery.messages import StoreChanged, StoreListed
 from monsoontray.kernel.kernel import CrashPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
-from monsoontray.logs import logger
-from monsoontray.store.outcomes import Cause, Done, Lease, NotDone, Put
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from monsoontray.decisions.containment import Clearance, ServerEnd
+    from monsoontray.decisions.containment import ServerEnd
     from monsoontray.settings.settings import Settings
-    from monsoontray.store.client import StoreClient
     from monsoontray.store.outcomes import Record
 
 NAME = "containment"
-INITIAL_RETRY_DELAY_S = 0.1  # doubled after each further failed call
-MAX_RETRY_DELAY_S = 0.8
-#: A lease is used for further records while this share of its lifetime is left.
-MIN_LIFETIME_SHARE = 0.9
-MAX_PUTS = 16  # in one call to the store
-MAX_UNWRITTEN = 256  # records; the oldest are dropped
+WRITER = "containment-writer"
 #: Longest time until a clearance is written. Many nodes may clear the same request;
 #: those that read the clearance of another one meanwhile write none.
 MAX_CLEARANCE_DELAY_S = 1.5
 
 
 class ContainmentService(Task):
-    """Task that owns the records of ended servers and a client of the store.
+    """Task that owns the records of ended servers; it waits for nobody.
 
-    The records outlive this node's process, and expire with their leases.
+    It learns of the ends of other nodes' servers through the store.
     """
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(NAME, kernel, handle_message)
         settings: Settings = kernel.find("settings").settings
-        self._client: StoreClient = kernel.find("store").open_client()
         self._lifetime_s = settings.get_seconds("containment_ms")
         self._refusals = EntryRefusals(kernel.find("metrics"), "containment")
         self._random = Random(settings.get_string("node"))
         self._ends: dict[str, ServerEnd] = {}
         self._clearances: dict[str, Clearance] = {}
-        self._unwritten: dict[str, bytes] = {}  # values by key
+        #: When each record is forgotten, unless the store removes it before.
+        self._deadlines: dict[str, float] = {}
+        self._stored: set[str] = set()  # keys of the records that the store has shown
+        self._own_clearances: set[str] = set()  # keys
         self._clearances_due: dict[str, float] = {}  # when they are written, by key
-        self._lease: Lease | None = None
-        self._failures = 0
-        self._next_attempt_at = 0.0
 
     def find_next_deadline(self) -> float | None:
-        """Return when the next records are written."""
+        """Return when a clearance is written or a record is forgotten."""
         due = list(self._clearances_due.values())
-        if self._unwritten:
-            due.append(self._next_attempt_at)
+        due += [
+            deadline
+            for key, deadline in self._deadlines.items()
+            if key not in self._stored
+        ]
         return min(due, default=None)
 
     def on_deadline(self) -> None:
-        """Write the records that are due."""
+        """Write the clearances that are due, and forget old records."""
         now = self.clock.now()
         for key in [key for key, due in self._clearances_due.items() if due <= now]:
             del self._clearances_due[key]
-            self._schedule_write(key, encode_clearance(self._clearances[key]))
-        if not self._unwritten or now < self._next_attempt_at:
-            return
-        if self._write():
-            self._failures = 0
-            return
-        self._next_attempt_at = compute_retry_time(
-            self.clock.now(),
-            self._failures,
-            INITIAL_RETRY_DELAY_S,
-            MAX_RETRY_DELAY_S,
-            self._random,
-        )
-        self._failures += 1
+            self._deadlines.setdefault(key, now + self._lifetime_s)
+            self._write(key, encode_clearance(self._clearances[key]))
+        outdated = [
+            key
+            for key, deadline in self._deadlines.items()
+            if deadline <= now and key not in self._stored
+        ]
+        for key in outdated:
+            self._forget(key)
+        if outdated:
+            self._post_update()
 
     def add_end(self, end: ServerEnd) -> None:
         """Record the end of a local server; this node acts on it at once."""
         key = build_end_key(end)
         self._ends[key] = end
+        self._deadlines[key] = self.clock.now() + self._lifetime_s
         self._post_update()
-        self._schedule_write(key, encode_end(end))
+        self._write(key, encode_end(end))
 
     def add_clearance(self, clearance: Clearance) -> None:
         """Record that a request completed at this node."""
         key = CLEARANCE_PREFIX + clearance.fingerprint
-        known = self._clearances.get(key)
-        if known is not None and clearance.ends <= known.ends:
+        self._own_clearances.add(key)
+        if not self._merge_clearance(key, clearance):
             return
-        self._clearances[key] = clearance
-        self._clearances_due[key] = self.clock.now() + self._random.uniform(
-            0.0, MAX_CLEARANCE_DELAY_S
-        )
+        self._deadlines.setdefault(key, self.clock.now() + self._lifetime_s)
+        self._schedule_clearance(key)
         self._post_update()
 
     def apply_listing(self, records: Iterable[Record]) -> None:
-        """Replace what is known by the store's records and the unwritten ones."""
-        self._ends = {k: v for k, v in self._ends.items() if k in self._unwritten}
-        self._clearances = {
-            k: v for k, v in self._clearances.items() if self._is_unwritten(k)
-        }
-        for record in records:
-            self._apply_record(record)
+        """Replace the records that the store has shown before."""
+        listed = {record.key: record for record in records}
+        for key in self._stored - listed.keys():
+            self._forget(key)
+        self._stored &= listed.keys()
+        for record in listed.values():
+            self._apply_stored(record)
         self._post_update()
 
     def apply_changes(self, message: StoreChanged) -> None:
         """Apply records that were written or that expired."""
         for record in message.records:
-            self._apply_record(record)
+            self._apply_stored(record)
         for record in message.removed:
-            if not self._is_unwritten(record.key):
-                self._ends.pop(record.key, None)
-                self._clearances.pop(record.key, None)
+            if record.key in self._stored:
+                self._stored.discard(record.key)
+                self._forget(record.key)
         self._post_update()
 
-    def close(self) -> None:
-        """Close the client; the records stay until their leases end."""
-        self._client.close()
+    def _apply_stored(self, record: Record) -> None:
+        """Apply a record of the store."""
+        key = record.key
+        self._apply(record)
+        if key not in self._ends and key not in self._clearances:
+            return
+        self._stored.add(key)
+        self._deadlines.setdefault(key, self.clock.now() + self._lifetime_s)
+        known = self._clearances.get(key)
+        if known is None:
+            return
+        if encode_clearance(known) == record.value:
+            self._clearances_due.pop(key, None)
+        elif key in self._own_clearances:
+            self._schedule_clearance(key)
 
-    def _apply_record(self, record: Record) -> None:
+    def _apply(self, record: Record) -> bool:
+        """Apply a record; return whether it says anything new."""
+        key = record.key
         try:
-            if record.key.startswith(END_PREFIX):
-                self._ends[record.key] = decode_end(record.key, record.value)
-            else:
-                self._apply_clearance(record.key, decode_clearance(record.value))
+            if not key.startswith(END_PREFIX):
+                clearance = decode_clearance(record.value)
+                if key != CLEARANCE_PREFIX + clearance.fingerprint:
+                    raise DecodingError("the record is of another request")
+                return self._merge_clearance(key, clearance)
+            end = decode_end(key, record.value)
         except DecodingError as error:
             self._refusals.report(record, error)
+            return False
+        is_new = key not in self._ends
+        self._ends[key] = end
+        return is_new
 
-    def _apply_clearance(self, key: str, clearance: Clearance) -> None:
-        """Apply a clearance of the store, unless this node has a wider one to write."""
-        own = self._clearances.get(key)
-        if own is not None and self._is_unwritten(key):
-            if not own.ends <= clearance.ends:
-                return
-            self._unwritten.pop(key, None)
-            self._clearances_due.pop(key, None)
-        self._clearances[key] = clearance
+    def _merge_clearance(self, key: str, clearance: Clearance) -> bool:
+        """Add the ends of a clearance to the known ones; return whether any is new."""
+        known = self._clearances.get(key)
+        if known is None:
+            self._clearances[key] = clearance
+            return True
+        if clearance.ends <= known.ends:
+            return False
+        ends = known.ends | clearance.ends
+        self._clearances[key] = Clearance(clearance.fingerprint, ends)
+        return True
+
+    def _schedule_clearance(self, key: str) -> None:
+        delay_s = self._random.uniform(0.0, MAX_CLEARANCE_DELAY_S)
+        self._clearances_due.setdefault(key, self.clock.now() + delay_s)
 
-    def _is_unwritten(self, key: str) -> bool:
-        return key in self._unwritten or key in self._clearances_due
+    def _forget(self, key: str) -> None:
+        self._deadlines.pop(key, None)
+        self._ends.pop(key, None)
+        if key not in self._clearances_due:
+            self._clearances.pop(key, None)
+            self._own_clearances.discard(key)
 
     def _post_update(self) -> None:
         update = UpdateContainment(dict(self._ends), tuple(self._clearances.values()))
         self.kernel.post("forwarding", update)
 
-    def _schedule_write(self, key: str, value: bytes) -> None:
-        self._unwritten[key] = value
-        if len(self._unwritten) > MAX_UNWRITTEN:
-            del self._unwritten[next(iter(self._unwritten))]
-        if not self._failures:
-            self._next_attempt_at = self.clock.now()
-
-    def _write(self) -> bool:
-        """Write some of the records; return whether the store confirmed them."""
-        lease = self._ensure_lease()
-        if lease is None:
-            return False
-        written = list(self._unwritten.items())[:MAX_PUTS]
-        puts = tuple(Put(key, value, lease.lease_id) for key, value in written)
-        outcome = self._client.commit({}, puts)
-        if outcome == NotDone(Cause.LEASE_EXPIRED):
-            self._lease = None
-        if not isinstance(outcome, Done):
-            logger.bind(records=len(puts)).info("records of ended servers not written")
-            return False
-        for key, value in written:
-            if self._unwritten.get(key) == value:
-                del self._unwritten[key]
-        return True
-
-    def _ensure_lease(self) -> Lease | None:
-        """Return a lease most of whose lifetime is left, or None."""
-        lease = self._lease
-        min_left_s = MIN_LIFETIME_SHARE * self._lifetime_s
-        if lease is not None and lease.deadline - self.clock.now() >= min_left_s:
-            return lease
-        outcome = self._client.grant_lease(self._lifetime_s)
-        self._lease = outcome if isinstance(outcome, Lease) else None
-        return self._lease
+    def _write(self, key: str, value: bytes) -> None:
+        self.kernel.post(WRITER, WriteRecords({key: value}))
 
 
 @singledispatch
@@ -230,6 +219,6 @@
 
 def setup(kernel: Kernel) -> None:
     """Register the service."""
-    requires = ("settings", "store", "metrics")
+    requires = ("settings", "metrics", WRITER)
     registration = Registration(NAME, requires, ContainmentService, CrashPolicy.RESTART)
     kernel.register(registration)
--- a/tests/test_containment/test_service.py
+++ b/tests/test_containment/test_service.py
@@ -1,9 +1,10 @@
-"""Records of ended servers in the store, with a store in memory."""
+"""Records of ended servers, in this node and in a store in memory."""
 
 from __future__ import annotations
 
 import pytest
 
+from monsoontray.containment import writer as writer_module
 from monsoontray.containment.encoding import (
     PREFIX,
     build_end_key,
@@ -19,10 +20,10 @@
 )
 from monsoontray.containment.service import (
     MAX_CLEARANCE_DELAY_S,
-    MAX_UNWRITTEN,
     ContainmentService,
     handle_message,
 )
+from monsoontray.containment.writer import MAX_UNWRITTEN, ContainmentWriter
 from monsoontray.decisions.containment import Clearance, ServerEnd
 from monsoontray.decoding.errors import DecodingError
 from monsoontray.discovery.messages import StoreChanged, StoreListed
@@ -45,12 +46,29 @@
     return ContainmentService(kernel)
 
 
-def run(service, kernel, seconds):
-    """Run a service for some seconds of the manual clock."""
+@pytest.fixture
+def writer(kernel):
+    return ContainmentWriter(kernel)
+
+
+def run(service, kernel, seconds, writer=None):
+    """Run a service and the writer for some seconds of the manual clock."""
     end = kernel.clock.now() + seconds
-    while (due := service.find_next_deadline()) is not None and due <= end:
-        kernel.clock.seconds = max(due, kernel.clock.now())
-        service.on_deadline()
+    tasks = [service] if writer is None else [service, writer]
+    while True:
+        if writer is not None:
+            for message in kernel.pop_posted("containment-writer"):
+                writer_module.handle_message(message, writer)
+        due = [
+            (deadline, i)
+            for i, task in enumerate(tasks)
+            if (deadline := task.find_next_deadline()) is not None and deadline <= end
+        ]
+        if not due:
+            break
+        deadline, i = min(due)
+        kernel.clock.seconds = max(deadline, kernel.clock.now())
+        tasks[i].on_deadline()
     kernel.clock.seconds = end
 
 
@@ -58,40 +76,40 @@
     return kernel.pop_posted("forwarding")[-1]
 
 
-def test_end_is_known_here_at_once_and_written_with_a_lease(service, kernel):
+def test_end_is_known_here_at_once_and_written_with_a_lease(service, writer, kernel):
     handle_message(ServerEnded(END), service)
     assert read_update(kernel) == UpdateContainment({KEY: END}, ())
-    run(service, kernel, 0.1)
+    run(service, kernel, 0.1, writer)
     assert decode_end(KEY, kernel.store.records[KEY].value) == END
     assert kernel.store.leases[kernel.store.lease_ids[KEY]] > kernel.clock.now() + 500
 
 
-def test_ends_shortly_after_each_other_share_a_lease(service, kernel):
+def test_ends_shortly_after_each_other_share_a_lease(service, writer, kernel):
     for born in range(3):
         handle_message(ServerEnded(ServerEnd("i-1", born, (FINGERPRINT,))), service)
-        run(service, kernel, 1.0)
+        run(service, kernel, 1.0, writer)
     assert len(set(kernel.store.lease_ids.values())) == 1
     assert kernel.store.writes == 3
 
 
-def test_end_is_written_after_an_outage_of_the_store(service, kernel):
+def test_end_is_written_after_an_outage_of_the_store(service, writer, kernel):
     kernel.store.unreachable = True
     handle_message(ServerEnded(END), service)
-    run(service, kernel, 30.0)
+    run(service, kernel, 30.0, writer)
     handle_message(StoreListed((), 1), service)
     assert read_update(kernel).ends == {KEY: END}
     kernel.store.unreachable = False
-    run(service, kernel, 1.0)
+    run(service, kernel, 1.0, writer)
     assert KEY in kernel.store.records
 
 
-def test_expired_lease_is_replaced(service, kernel):
+def test_expired_lease_is_replaced(service, writer, kernel):
     handle_message(ServerEnded(END), service)
-    run(service, kernel, 0.1)
+    run(service, kernel, 0.1, writer)
     kernel.store.expire_lease(kernel.store.lease_ids[KEY])
     later = ServerEnd("i-2", 8, (FINGERPRINT,))
     handle_message(ServerEnded(later), service)
-    run(service, kernel, 2.0)
+    run(service, kernel, 2.0, writer)
     assert build_end_key(later) in kernel.store.records
 
 
@@ -108,22 +126,24 @@
     assert read_update(kernel) == UpdateContainment({}, ())
 
 
-def test_clearance_is_written(service, kernel):
+def test_clearance_is_written(service, writer, kernel):
     handle_message(RequestCleared(CLEARANCE), service)
     assert read_update(kernel).clearances == (CLEARANCE,)
-    run(service, kernel, MAX_CLEARANCE_DELAY_S)
+    run(service, kernel, MAX_CLEARANCE_DELAY_S, writer)
     (record,) = kernel.store.records.values()
     assert decode_clearance(record.value) == CLEARANCE
 
 
-def test_clearance_that_another_node_has_written_is_not_written_again(service, kernel):
+def test_clearance_that_another_node_has_written_is_not_written_again(
+    service, writer, kernel
+):
     handle_message(RequestCleared(CLEARANCE), service)
     key = f"{PREFIX}cleared/{FINGERPRINT}"
     wider = Clearance(FINGERPRINT, frozenset((KEY, KEY[:-1] + "0")))
     record = Record(key, 6, encode_clearance(wider))
     handle_message(StoreChanged((record,), (), 6), service)
     handle_message(RequestCleared(CLEARANCE), service)
-    run(service, kernel, 10.0)
+    run(service, kernel, 10.0, writer)
     assert kernel.store.writes == 0
     assert read_update(kernel).clearances == (wider,)
 
@@ -149,10 +169,33 @@
         decode_end(KEY, value)
 
 
-def test_unwritten_records_are_bounded(service, kernel):
+def test_unwritten_records_are_bounded(service, writer, kernel):
     kernel.store.unreachable = True
     for born in range(2 * MAX_UNWRITTEN):
         handle_message(ServerEnded(ServerEnd("i-1", born, (FINGERPRINT,))), service)
     kernel.store.unreachable = False
-    run(service, kernel, 60.0)
+    run(service, kernel, 60.0, writer)
     assert len(kernel.store.records) == MAX_UNWRITTEN
+
+
+def test_end_is_forgotten_when_the_store_removes_it(service, kernel):
+    handle_message(ServerEnded(END), service)
+    handle_message(StoreListed((Record(KEY, 5, encode_end(END)),), 5), service)
+    handle_message(StoreListed((), 9), service)
+    assert read_update(kernel).ends == {}
+
+
+# A narrower clearance of another node replaced a wider one.
+def test_clearances_of_two_nodes_are_joined_and_the_joined_one_is_written(
+    service, writer, kernel
+):
+    handle_message(RequestCleared(CLEARANCE), service)
+    run(service, kernel, MAX_CLEARANCE_DELAY_S, writer)
+    other = Clearance(FINGERPRINT, frozenset((KEY[:-1] + "0",)))
+    key = f"{PREFIX}cleared/{FINGERPRINT}"
+    kernel.store.put(key, encode_clearance(other))
+    handle_message(StoreChanged((kernel.store.records[key],), (), 9), service)
+    joined = Clearance(FINGERPRINT, CLEARANCE.ends | other.ends)
+    assert read_update(kernel).clearances == (joined,)
+    run(service, kernel, MAX_CLEARANCE_DELAY_S, writer)
+    assert decode_clearance(kernel.store.records[key].value) == joined
