Tell other nodes of ended servers without the store

Cause: an end was shared through the store only, so that of a cut-off node's server reached nobody. Class: knowledge that must hold in a cut zone had one path, through the system that is cut off.

Nodes now pass a new record on to a few random nodes of their zone and of the others, and each of these does the same; records are compared afterwards, so a node that missed one, or has started since, learns of it. An own task owns the sockets; none of them makes it wait. What only nodes have told expires with the record. The plans interface does not have this; its nodes know the ends of their own server and the store's, as before.

--- a/monsoontray/containment/encoding.py
+++ b/monsoontray/containment/encoding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from hashlib import blake2b
 from typing import Annotated
 
@@ -14,9 +15,10 @@
     Clearance,
     ServerEnd,
 )
-from monsoontray.decoding.documents import decode_json
+from monsoontray.decisions.offers import MAX_OFFERED
+from monsoontray.decoding.documents import decode_json, decode_msgpack
 from monsoontray.decoding.errors import DecodingError
-from monsoontray.decoding.values import Timestamp, Token
+from monsoontray.decoding.values import Seconds, Timestamp, Token
 
 PREFIX = "containment/"
 END_PREFIX = "containment/ends/"
@@ -45,6 +47,45 @@
     ends: Annotated[tuple[EndKey, ...], Meta(max_length=4_096)]
 
 
+RecordKey = Annotated[str, Meta(pattern=rf"^{PREFIX}[!-~]{{1,100}}\Z")]
+RecordValue = Annotated[bytes, Meta(max_length=65_536)]
+
+
+class OfferedRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Record that a node tells another one; the field order is the format."""
+
+    key: RecordKey
+    value: RecordValue
+    remaining_s: Seconds  # until it is forgotten
+
+
+class Offer(msgspec.Struct, frozen=True, array_like=True):
+    """Records of a node and a digest of all it knows; the field order is the format."""
+
+    digest: Annotated[bytes, Meta(max_length=_KEY_DIGEST_BYTES)]
+    records: Annotated[tuple[OfferedRecord, ...], Meta(max_length=MAX_OFFERED)] = ()
+
+
+def encode_offer(offer: Offer) -> bytes:
+    """Return an offer as MessagePack."""
+    return msgspec.msgpack.encode(offer)
+
+
+def decode_offer(data: bytes) -> Offer:
+    """Return the offer; raise DecodingError."""
+    offer: Offer = decode_msgpack(data, Offer)
+    return offer
+
+
+def compute_digest(values: Mapping[str, bytes]) -> bytes:
+    """Return a digest that is the same at nodes that know the same records."""
+    digest = blake2b(digest_size=_KEY_DIGEST_BYTES)
+    for key in sorted(values):
+        digest.update(b"%b %d " % (key.encode(), len(values[key])))
+        digest.update(values[key])
+    return digest.digest()
+
+
 def build_end_key(end: ServerEnd) -> str:
     """Return the key of the end of a server's incarnation."""
     content = f"{end.server}\n{end.born}".encode()
--- a/monsoontray/containment/messages.py
+++ b/monsoontray/containment/messages.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from monsoontray.decisions.containment import Clearance, ServerEnd
+from monsoontray.kernel.mailbox import Reply
 
 
 class ServerEnded(Struct, frozen=True):
@@ -30,3 +31,24 @@
     """Write records to the store."""
 
     values: dict[str, bytes]  # by key
+
+
+class ShareRecords(Struct, frozen=True):
+    """Replace the records that other nodes are told of."""
+
+    values: dict[str, bytes]  # by key
+    deadlines: dict[str, float]  # when each record is forgotten, by key
+
+
+class RecordsLearned(Struct, frozen=True):
+    """Report records of other nodes that this node did not know."""
+
+    values: dict[str, bytes]  # by key
+    deadlines: dict[str, float]  # when each record is forgotten, by key
+
+
+class RecordsOffered(Struct, frozen=True):
+    """Report an offer of another node, which is answered with one of this node."""
+
+    body: bytes
+    reply: Reply
--- a/monsoontray/containment/service.py
+++ b/monsoontray/containment/service.py
@@ -16,8 +16,10 @@
     encode_end,
 )
 from monsoontray.containment.messages import (
+    RecordsLearned,
     RequestCleared,
     ServerEnded,
+    ShareRecords,
     UpdateContainment,
     WriteRecords,
 )
@@ -27,25 +29,29 @@
 from monsoontray.discovery.messages import StoreChanged, StoreListed
 from monsoontray.kernel.kernel import CrashPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
+from monsoontray.logs import logger
+from monsoontray.store.outcomes import Record
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from monsoontray.decisions.containment import ServerEnd
     from monsoontray.settings.settings import Settings
-    from monsoontray.store.outcomes import Record
 
 NAME = "containment"
+PEERS = "containment-peers"
 WRITER = "containment-writer"
 #: Longest time until a clearance is written. Many nodes may clear the same request;
 #: those that read the clearance of another one meanwhile write none.
 MAX_CLEARANCE_DELAY_S = 1.5
+NO_REVISION = 0  # of records that were not read from the store
 
 
 class ContainmentService(Task):
     """Task that owns the records of ended servers; it waits for nobody.
 
-    It learns of the ends of other nodes' servers through the store.
+    It learns of the ends of other nodes' servers through the store and, where nodes
+    exchange records, from these nodes themselves.
     """
 
     def __init__(self, kernel: Kernel) -> None:
@@ -54,6 +60,7 @@
         self._lifetime_s = settings.get_seconds("containment_ms")
         self._refusals = EntryRefusals(kernel.find("metrics"), "containment")
         self._random = Random(settings.get_string("node"))
+        self._has_peers = kernel.is_registered(PEERS)
         self._ends: dict[str, ServerEnd] = {}
         self._clearances: dict[str, Clearance] = {}
         #: When each record is forgotten, unless the store removes it before.
@@ -107,6 +114,19 @@
         self._schedule_clearance(key)
         self._post_update()
 
+    def learn(self, message: RecordsLearned) -> None:
+        """Add records that another node has sent."""
+        now = self.clock.now()
+        is_changed = False
+        for key, value in message.values.items():
+            deadline = min(message.deadlines[key], now + self._lifetime_s)
+            if deadline > now and self._apply(Record(key, NO_REVISION, value)):
+                self._deadlines.setdefault(key, deadline)
+                is_changed = True
+                logger.bind(key=key).info("record of ended servers from another node")
+        if is_changed:
+            self._post_update()
+
     def apply_listing(self, records: Iterable[Record]) -> None:
         """Replace the records that the store has shown before."""
         listed = {record.key: record for record in records}
@@ -186,6 +206,12 @@
     def _post_update(self) -> None:
         update = UpdateContainment(dict(self._ends), tuple(self._clearances.values()))
         self.kernel.post("forwarding", update)
+        if not self._has_peers:
+            return
+        values = {key: encode_end(end) for key, end in self._ends.items()}
+        for key, clearance in self._clearances.items():
+            values[key] = encode_clearance(clearance)
+        self.kernel.post(PEERS, ShareRecords(values, dict(self._deadlines)))
 
     def _write(self, key: str, value: bytes) -> None:
         self.kernel.post(WRITER, WriteRecords({key: value}))
@@ -207,6 +233,11 @@
     service.add_clearance(message.clearance)
 
 
+@handle_message.register(RecordsLearned)
+def _(message: RecordsLearned, service: ContainmentService) -> None:
+    service.learn(message)
+
+
 @handle_message.register(StoreListed)
 def _(message: StoreListed, service: ContainmentService) -> None:
     service.apply_listing(message.records)
@@ -220,5 +251,11 @@
 def setup(kernel: Kernel) -> None:
     """Register the service."""
     requires = ("settings", "metrics", WRITER)
-    registration = Registration(NAME, requires, ContainmentService, CrashPolicy.RESTART)
+    registration = Registration(
+        NAME,
+        requires,
+        ContainmentService,
+        CrashPolicy.RESTART,
+        starts_after=(PEERS,),
+    )
     kernel.register(registration)
--- a/monsoontray/http/client.py
+++ b/monsoontray/http/client.py
@@ -118,7 +118,7 @@
         stall_s = max(deadline - sent_at, 0.0)
         try:
             sock.settimeout(self._compute_timeout(deadline))
-            sock.sendall(_encode(request))
+            sock.sendall(encode_http_request(request))
             while not receiver.is_complete:
                 sock.settimeout(self._compute_timeout(deadline))
                 data = sock.recv(RECEIVE_BYTES)
@@ -200,7 +200,8 @@
         self.is_complete = True
 
 
-def _encode(request: HttpRequest) -> bytes:
+def encode_http_request(request: HttpRequest) -> bytes:
+    """Return the bytes of a request."""
     lines = [encode_header(b"host", str(request.address).encode())]
     if request.body:
         lines.append(CONTENT_TYPE_LINE)
--- a/monsoontray/kernel/kernel.py
+++ b/monsoontray/kernel/kernel.py
@@ -69,6 +69,10 @@
             raise DuplicateServiceError(registration.name)
         self._registrations[registration.name] = registration
 
+    def is_registered(self, name: str) -> bool:
+        """Return whether there is a service with a name."""
+        return name in self._registrations
+
     def find(self, name: str) -> Any:
         """Return the service with a name; raise UnknownServiceError."""
         try:
--- a/monsoontray/node.py
+++ b/monsoontray/node.py
@@ -39,6 +39,7 @@
         "monsoontray.discovery.mirror",
         "monsoontray.discovery.watch",
         "monsoontray.containment.writer",
+        "monsoontray.containment.peers",
         "monsoontray.containment.service",
         "monsoontray.rollouts.service",
         "monsoontray.platform.operator",
--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -4,11 +4,13 @@
 
 import threading
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 
+from monsoontray.containment.messages import RecordsOffered
 from monsoontray.decoding.documents import decode_digits
 from monsoontray.decoding.errors import DecodingError
 from monsoontray.decoding.values import MAX_INT64
@@ -64,6 +66,7 @@
             "/rpc": self.handle_announcement,
             "/metrics": self.render_metrics,
             "/mirror": self.read_mirror,
+            "/containment": self.exchange_records,
             "/evidence": self.read_evidence,
             "/status": self.describe_node,
         }
@@ -126,6 +129,13 @@
         """Return the guard's evidence on its server; rollout decisions use it."""
         return _build_response(self._ask("forwarding", ReadEvidence))
 
+    def exchange_records(self, request: ServerRequest) -> ServerResponse:
+        """Take another node's records of ended servers; return what it lacks."""
+        answer: bytes = self._ask(
+            "containment-peers", partial(RecordsOffered, request.body)
+        )
+        return ServerResponse(answer, content_type="application/octet-stream")
+
     def describe_node(self, request: ServerRequest) -> ServerResponse:
         """Return the state of this node and of the nodes that it knows."""
         forwarding = self._ask("forwarding", DescribeForwarding)
@@ -209,5 +219,5 @@
 
 def setup(kernel: Kernel) -> None:
     """Register the service."""
-    requires = ("settings", "metrics", "membership", "mirror")
+    requires = ("settings", "metrics", "membership", "mirror", "containment-peers")
     kernel.register(Registration(NAME, requires, EndpointService))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -153,6 +153,9 @@
     def find(self, name):
         return self
 
+    def is_registered(self, name):
+        return True
+
     def open_client(self):
         return self.store
 
--- a/tests/test_containment/test_service.py
+++ b/tests/test_containment/test_service.py
@@ -14,8 +14,10 @@
     encode_end,
 )
 from monsoontray.containment.messages import (
+    RecordsLearned,
     RequestCleared,
     ServerEnded,
+    ShareRecords,
     UpdateContainment,
 )
 from monsoontray.containment.service import (
@@ -178,6 +180,32 @@
     assert len(kernel.store.records) == MAX_UNWRITTEN
 
 
+def test_end_of_another_node_is_used_without_the_store_until_its_deadline(
+    service, kernel
+):
+    learned = RecordsLearned({KEY: encode_end(END)}, {KEY: kernel.clock.now() + 20.0})
+    handle_message(learned, service)
+    assert read_update(kernel) == UpdateContainment({KEY: END}, ())
+    handle_message(StoreListed((), 1), service)
+    assert read_update(kernel).ends == {KEY: END}
+    shared = kernel.pop_posted("containment-peers")[-1]
+    assert shared == ShareRecords(learned.values, learned.deadlines)
+    run(service, kernel, 21.0)
+    assert read_update(kernel).ends == {}
+    assert kernel.pop_posted("containment-writer") == []
+
+
+def test_known_and_outdated_records_of_another_node_change_nothing(service, kernel):
+    handle_message(ServerEnded(END), service)
+    read_update(kernel)
+    later = build_end_key(ServerEnd("i-2", 8, (FINGERPRINT,)))
+    values = {KEY: encode_end(END), later: b"{}"}
+    handle_message(RecordsLearned(values, dict.fromkeys(values, 500.0)), service)
+    outdated = RecordsLearned({KEY: encode_end(END)}, {KEY: kernel.clock.now()})
+    handle_message(outdated, service)
+    assert kernel.pop_posted("forwarding") == []
+
+
 def test_end_is_forgotten_when_the_store_removes_it(service, kernel):
     handle_message(ServerEnded(END), service)
     handle_message(StoreListed((Record(KEY, 5, encode_end(END)),), 5), service)
--- a/tests/test_platform/test_mesh_containment.py
+++ b/tests/test_platform/test_mesh_containment.py
@@ -5,6 +5,7 @@
 import re
 import threading
 import time
+from functools import partial
 from itertools import count
 from pathlib import Path
 
@@ -15,9 +16,11 @@
 from tests.meshes import ORDER_ROUTE, READ_ROUTE, call
 
 NODES = 6
+ZONES = ("zone-0", "zone-1", "zone-2")
 STABLE_S = 3.0  # from the third end until the request must be refused
 MAX_LATE_ARRIVALS = 3  # that may still reach a server after that
 RESTART_S = 0.5  # time until an ended server starts again
+SLOW_RESTART_S = 2.0  # the same where the calls beside it need the servers
 WATCHED_S = 6.0  # time for which the request keeps coming after that
 PAUSE_S = 0.05  # between two arrivals of the request
 
@@ -25,8 +28,9 @@
 class ServerRestarter:
     """Thread that starts ended servers again, as the platform does."""
 
-    def __init__(self, mesh, runs_file):
+    def __init__(self, mesh, runs_file, restart_s=RESTART_S):
         self.ended_at = []  # times at which ends were seen
+        self._restart_s = restart_s
         self._mesh = mesh
         self._runs_file = runs_file
         self._stopped = threading.Event()
@@ -49,7 +53,7 @@
                 if node.backend is None or is_running(node.backend.process):
                     continue
                 if name not in due:
-                    due[name] = now + RESTART_S
+                    due[name] = now + self._restart_s
                     self.ended_at.append(now)
                 elif now >= due[name]:
                     node.backend.process.kill()
@@ -318,3 +322,96 @@
     if node.backend.process.poll() is not None:
         return False
     return call_id in mesh.get_observed(node)["runs"]
+
+
+def disturb_store(mesh, zones, action):
+    for zone in zones:
+        mesh.fleet.set_rule(zone, "store", action)
+
+
+def cut_zones_apart(mesh):
+    """Cut two zones from the store and from each other."""
+    disturb_store(mesh, ZONES[1:], "silence")
+    mesh.fleet.set_rule("zone-1", "zone-2", "cut")
+    mesh.fleet.set_rule("zone-2", "zone-1", "cut")
+
+
+DISTURBANCES = {
+    "none": lambda mesh: None,
+    "two zones refused": partial(disturb_store, zones=ZONES[1:], action="cut"),
+    "two zones silenced": partial(disturb_store, zones=ZONES[1:], action="silence"),
+    "silent": partial(disturb_store, zones=ZONES, action="silence"),
+    "two zones apart": cut_zones_apart,
+}
+
+
+class ArrivalSender:
+    """Threads that send a request at each node again and again, and others beside."""
+
+    FATAL_GAP_S = 0.4
+    BESIDE_GAP_S = 0.02
+
+    def __init__(self, mesh):
+        self.sent_at = {}  # of the fatal request, by id
+        self.statuses = []  # of the other requests
+        self._mesh = mesh
+        self._stopped = threading.Event()
+        senders = [(self._send_fatal, node) for node in mesh.nodes]
+        senders += [(self._send_beside, node) for node in mesh.nodes]
+        self._threads = [
+            threading.Thread(target=send, args=(node,)) for send, node in senders
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _send_fatal(self, node):
+        for i in count():
+            if self._stopped.wait(self.FATAL_GAP_S):
+                return
+            call_id = f"fatal-{node.handle.name}-{i}"
+            self.sent_at[call_id] = time.monotonic()
+            call_or_fail(node, "/read/fatal", call_id, X_Deadline_Ms="400")
+
+    def _send_beside(self, node):
+        for i in count():
+            if self._stopped.wait(self.BESIDE_GAP_S):
+                return
+            name = f"beside-{node.handle.name}-{i}"
+            self.statuses.append(call_or_fail(node, f"/read/{name}", name))
+
+
+# Nodes without the store did not learn of the ends of each other's servers.
+@pytest.mark.parametrize("disturbance", DISTURBANCES)
+def test_request_is_contained_while_the_store_is_out_of_reach(
+    mesh, tmp_path, disturbance
+):
+    runs_file = tmp_path / "runs"
+    mesh.fleet.start_proxy()
+    start_fleet(mesh, runs_file)
+    mesh.fleet.label_processes()
+    DISTURBANCES[disturbance](mesh)
+    with (
+        ServerRestarter(mesh, runs_file, SLOW_RESTART_S) as restarter,
+        ArrivalSender(mesh) as sender,
+    ):
+        mesh.fleet.wait_for(lambda: len(restarter.ended_at) >= 3, "three ends")
+        since = restarter.ended_at[2] + STABLE_S
+        time.sleep(STABLE_S + 2 * WATCHED_S)
+        sender.statuses.clear()
+        time.sleep(1.0)
+        served = sender.statuses.count(200) / len(sender.statuses)
+    runs = read_runs(runs_file)
+    late = [each for each, sent in sender.sent_at.items() if sent > since]
+    late_arrivals = sum(runs.count(each) for each in late)
+    ended = len(restarter.ended_at)
+    print(f"{disturbance}: {ended} ended, {late_arrivals} late, {served:.2f} served")
+    assert late_arrivals <= MAX_LATE_ARRIVALS, f"{ended} ended"
+    assert served > 0.9
