Reuse a connection only after the request's last byte was sent on it

Cause: whether a connection may be used again was decided by what had been received from the client. After the deadline the rest is received and not sent. SentRequest keeps what was written in an attempt; the connection is kept only if that is the whole and nothing waits in its output.

--- a/monsoontray/forwarding/sending.py
+++ b/monsoontray/forwarding/sending.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from monsoontray.forwarding.exchange import SentRequest
 from monsoontray.forwarding.fingerprint import (
     FINGERPRINT_HEADER,
     RequestFingerprint,
@@ -48,6 +49,7 @@
         "hop",
         "is_received",
         "may_run",
+        "sent",
         "upstream",
     )
 
@@ -62,6 +64,7 @@
     ) -> None:
         self.hop: Hop | None = None  # where the current attempt goes
         self.upstream: UpstreamConnection | None = None
+        self.sent = SentRequest(head.framing, head.length)  # of the current attempt
         self.is_received = False  # the whole request was received
         self.may_run = False  # enough was sent that a back end may run the call
         self._forwarder = forwarder
@@ -86,21 +89,13 @@
         """Return whether everything received can be sent again."""
         return self._body.is_complete
 
-    @property
-    def is_complete(self) -> bool:
-        """Return whether the whole request was sent."""
-        return (
-            self.is_received
-            and not self._awaits_continue
-            and not self._awaits_caller_body
-        )
-
     def start(self, call: Call, hop: Hop) -> None:
         """Send the request of a call to the next hop.
 
         Raises OSError if no connection can be opened.
         """
         self.hop = hop
+        self.sent = SentRequest(self._head.framing, self._head.length)
         self.may_run = False
         self._awaits_continue = False
         self._awaits_caller_body = False
@@ -176,7 +171,7 @@
         self.is_received = True
         upstream = self._find_ready_upstream()
         if upstream is not None and self._head.framing is Framing.CHUNKED:
-            upstream.write(LAST_CHUNK)
+            self._write_last_chunk()
 
     def resume_request(self, unsent_bytes: int) -> None:
         """Read from the caller again once the hop has accepted enough data."""
@@ -244,6 +239,7 @@
         self.upstream.write(
             encode_request(head.method, head.target, lines, head.framing, head.length)
         )
+        self.sent.write_head()
 
     def _write_all(self) -> None:
         self.may_run = True
@@ -252,13 +248,18 @@
         for part in self._body.parts:
             self._write_body(part)
         if self.is_received and self._head.framing is Framing.CHUNKED:
-            assert self.upstream is not None
-            self.upstream.write(LAST_CHUNK)
+            self._write_last_chunk()
 
     def _write_body(self, part: bytes) -> None:
         assert self.upstream is not None
         chunked = self._head.framing is Framing.CHUNKED
         self.upstream.write(encode_chunk(part) if chunked else part)
+        self.sent.write_body(len(part))
+
+    def _write_last_chunk(self) -> None:
+        assert self.upstream is not None
+        self.upstream.write(LAST_CHUNK)
+        self.sent.write_end()
 
 
 def build_id_line(name: bytes, call_id: str) -> bytes:
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -167,13 +167,21 @@
         call = self.call
         assert call is not None
         self.call = None
-        if self._keep_alive and not self.must_close and call.request.is_complete:
+        if self._may_be_reused(call):
             self.resume_reading()
             self.forwarder.pool.add_idle(self)
         else:
             self.close()
         handle_response_end(call)
 
+    def _may_be_reused(self, call: Call) -> bool:
+        """Return whether another request may be sent after the response to a call.
+
+        The other side reads what is sent next as the rest of an incomplete request.
+        """
+        is_sent = call.request.sent.is_written and not self.unsent_bytes
+        return is_sent and self._keep_alive and not self.must_close
+
     def on_head(self, head: ResponseHead) -> None:
         """Pass the head of a response to the call."""
         self._keep_alive = head.keep_alive
