Count a reset that sending reported as the end of the connection

Cause: the system reports an error of a socket once. While a request was still being sent, send got it; the next read then returned the end of file, which ends such an answer. The connection keeps now that any call has reported an error. Another form, found by the same test: a connection that had reported a reset was kept for the next request if its answer had a length.

--- a/monsoontray/forwarding/connection.py
+++ b/monsoontray/forwarding/connection.py
@@ -24,10 +24,10 @@
         "_descriptor",
         "_events",
         "_output",
-        "_unwritable",
         "closed",
         "dirty",
         "forwarder",
+        "is_reset",
         "paused",
         "sock",
         "unsent_bytes",
@@ -40,9 +40,9 @@
         self.forwarder = forwarder
         self.closed = False
         self.dirty = False  # waits for flush in forwarder.dirty_connections
+        self.is_reset = False  # a call on the socket has reported an error
         self.paused = False  # received bytes stay in the socket
         self.unsent_bytes = 0
-        self._unwritable = False
         self._output: list[bytes] = []
         self._events = events
         self._descriptor = sock.fileno()
@@ -57,7 +57,7 @@
 
     def write(self, data: bytes) -> None:
         """Buffer bytes; they are sent after the current event is handled."""
-        if self._unwritable:
+        if self.is_reset:
             return
         self._output.append(data)
         self.unsent_bytes += len(data)
@@ -131,8 +131,12 @@
         """Handle the sending of buffered bytes, or of a part of them."""
 
     def _discard_output(self) -> None:
-        """Stop writing; bytes that the peer sent before it closed are still read."""
-        self._unwritable = True
+        """Stop writing; bytes that the peer sent before it closed are still read.
+
+        The system reports an error once only: after this, the end of the peer's data
+        looks like an orderly one.
+        """
+        self.is_reset = True
         self._output.clear()
         self.unsent_bytes = 0
         self._set_events((self._events | READABLE) & ~WRITABLE)
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -137,7 +137,8 @@
 
     def on_eof(self) -> None:
         """Complete a response that ends with the connection, or fail the call."""
-        if self._until_close and not self._skips_response and self.call is not None:
+        is_whole = self._until_close and not self.is_reset
+        if is_whole and not self._skips_response and self.call is not None:
             self.finish_response()
         else:
             self.on_connection_lost()
@@ -180,7 +181,8 @@
         The other side reads what is sent next as the rest of an incomplete request.
         """
         is_sent = call.request.sent.is_written and not self.unsent_bytes
-        return is_sent and self._keep_alive and not self.must_close
+        is_usable = self._keep_alive and not self.must_close and not self.is_reset
+        return is_sent and is_usable
 
     def on_head(self, head: ResponseHead) -> None:
         """Pass the head of a response to the call."""
