Start no request behind a response that closes its connection

Cause: the response that ends a connection is chosen when it is encoded, though it may be sent later, behind an earlier one. Requests that arrived meanwhile were passed on, and cancelled when the connection closed. The same held behind a request that itself asks to close. Such requests are no longer read; a client counts them as not read, and none of them has run.

The new test failed before.

--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -211,11 +211,13 @@
         """
         if self._find_incoming() is not None or not self._transactions:
             return True
-        if isinstance(event, RequestHead):
-            if len(self._transactions) >= MAX_PIPELINED:
-                return False
-            return is_idempotent_method(event.method)
-        return False
+        if not isinstance(event, RequestHead):
+            return False
+        # No response can be sent behind one that closes the connection.
+        if self._transactions[-1].closes_connection:
+            return False
+        has_room = len(self._transactions) < MAX_PIPELINED
+        return has_room and is_idempotent_method(event.method)
 
     def _linger(self) -> None:
         """Discard further input for a while, so that the response arrives."""
--- /dev/null
+++ b/tests/test_forwarding/test_caller.py
@@ -0,0 +1,150 @@
+"""Connections of callers that send requests behind each other."""
+
+from __future__ import annotations
+
+import socket
+from types import SimpleNamespace
+
+import pytest
+
+from monsoontray.forwarding.caller import CallerConnection
+from monsoontray.forwarding.heads import NO_EXTRA_HEADERS, Framing, ResponseHead
+from monsoontray.forwarding.parsing import HeadLimits
+from monsoontray.kernel.sockets import READABLE, WRITABLE
+from monsoontray.kernel.timers import Timers
+
+REQUEST = b"GET /%d HTTP/1.1\r\nHost: shop\r\n\r\n"
+
+
+class FakeCall:
+    """Call that a request started, or that was cancelled."""
+
+    def __init__(self):
+        self.cancelled = False
+        self.request = SimpleNamespace(resume_response=lambda unsent_bytes: None)
+
+    def cancel(self):
+        self.cancelled = True
+
+    def receive_end(self):
+        pass
+
+
+class FakeForwarder:
+    """Owner of one caller's connection, without an event loop."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.timers = Timers()
+        self.dirty_connections = []
+        self.draining = False
+        self.limits = SimpleNamespace(
+            head=HeadLimits(100, 16_384), idle_timeout_s=15.0, head_timeout_s=3.0
+        )
+        self.transactions = []  # of the requests that were started
+
+    def start_call(self, caller, transaction, head):
+        transaction.call = FakeCall()
+        self.transactions.append(transaction)
+
+    def remove_caller(self, caller):
+        pass
+
+    def add_socket(self, descriptor, owner, events):
+        pass
+
+    def change_events(self, descriptor, events):
+        pass
+
+    def remove_socket(self, descriptor):
+        pass
+
+    def flush(self):
+        while self.dirty_connections:
+            self.dirty_connections.pop().flush()
+
+
+@pytest.fixture
+def forwarder():
+    return FakeForwarder()
+
+
+@pytest.fixture
+def sockets(forwarder):
+    ours, client = socket.socketpair()
+    ours.setblocking(False)
+    client.setblocking(False)
+    side = SimpleNamespace(extra_headers=NO_EXTRA_HEADERS)
+    connection = CallerConnection(ours, forwarder, side)
+    yield connection, client
+    connection.close()
+    client.close()
+
+
+def send(connection, client, *numbers):
+    client.sendall(b"".join(REQUEST % number for number in numbers))
+    connection.handle_events(READABLE)
+
+
+def begin(transaction, length):
+    head = ResponseHead(200, [], {}, Framing.LENGTH, length, True)
+    transaction.begin_response(head, head.lines)
+
+
+def respond(transaction, body):
+    begin(transaction, len(body))
+    transaction.write_response_body(body)
+    transaction.end_response()
+
+
+def read_all(connection, client, forwarder):
+    """Return what the client receives, and whether it sees the end."""
+    received = b""
+    forwarder.flush()
+    while True:
+        connection.handle_events(WRITABLE)
+        try:
+            part = client.recv(65_536)
+        except BlockingIOError:
+            return received, False
+        if not part:
+            return received, True
+        received += part
+
+
+# In a planned stop a request was passed on behind a response that closes the
+# connection, and cut.
+def test_request_behind_a_response_that_closes_is_not_started(forwarder, sockets):
+    connection, client = sockets
+    send(connection, client, 1, 2)
+    first, second = forwarder.transactions
+    forwarder.draining = True
+    respond(second, b"second")
+    send(connection, client, 3)
+    assert forwarder.transactions == [first, second]
+    respond(first, b"first")
+    received, has_ended = read_all(connection, client, forwarder)
+    assert received.endswith(b"second")
+    assert received.count(b"connection: close") == 1
+    assert has_ended
+
+
+def test_request_behind_one_that_asks_to_close_is_not_started(forwarder, sockets):
+    connection, client = sockets
+    client.sendall(b"GET /1 HTTP/1.1\r\nHost: shop\r\nConnection: close\r\n\r\n")
+    send(connection, client, 2)
+    assert len(forwarder.transactions) == 1
+
+
+def test_request_that_was_started_before_the_stop_is_answered(forwarder, sockets):
+    connection, client = sockets
+    send(connection, client, 1, 2)
+    first, second = forwarder.transactions
+    forwarder.draining = True
+    respond(first, b"first")
+    send(connection, client, 3)
+    respond(second, b"second")
+    respond(forwarder.transactions[2], b"third")
+    received, has_ended = read_all(connection, client, forwarder)
+    assert received.endswith(b"third")
+    assert has_ended
