Deliver complete responses before the connection of a cut one closes

Cause: a cut response closed the connection at once, which clears its output. The connection now ends like one whose last response was sent: the output is written, then its end, and further requests count as unread. Found by a further test: a slow client of a large last response was cut one second after its end was queued, although it was reading; the second now counts from the last progress.

Three of the new tests failed before.

--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -82,6 +82,7 @@
     def on_sent(self) -> None:
         """Resume reading the current response if enough of it was sent."""
         if self._lingering:
+            self._deadline = self.forwarder.now + LINGER_S
             self._shut_down_writing()
             return
         self._deadline = self.forwarder.now + self.forwarder.limits.idle_timeout_s
@@ -163,11 +164,8 @@
                 first.receiving_request and not first.closes_connection
             ):
                 break
-            if first.was_cut:
-                self.on_connection_lost()
-                return
             self._transactions.popleft()
-            if first.closes_connection:
+            if first.was_cut or first.closes_connection:
                 self._linger()
                 return
             if self._transactions:
@@ -220,7 +218,7 @@
         return has_room and is_idempotent_method(event.method)
 
     def _linger(self) -> None:
-        """Discard further input for a while, so that the response arrives."""
+        """Discard further input for a while, so that what was written arrives."""
         self._lingering = True
         self._pending_events.clear()
         # Requests after the one whose response closes the connection count as unread.
@@ -231,6 +229,7 @@
             self.forwarder.timers.cancel(self._timer)
         self._arm_timer()
         self.resume_reading()
+        self._shut_down_writing()
 
     def _shut_down_writing(self) -> None:
         """Send end of file once all output is sent."""
--- a/tests/test_forwarding/test_caller.py
+++ b/tests/test_forwarding/test_caller.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from monsoontray.forwarding.caller import CallerConnection
+from monsoontray.forwarding.caller import LINGER_S, CallerConnection
 from monsoontray.forwarding.heads import NO_EXTRA_HEADERS, Framing, ResponseHead
 from monsoontray.forwarding.parsing import HeadLimits
 from monsoontray.kernel.sockets import READABLE, WRITABLE
@@ -148,3 +148,52 @@
     received, has_ended = read_all(connection, client, forwarder)
     assert received.endswith(b"third")
     assert has_ended
+
+
+# A complete response was discarded if the one behind it broke off.
+@pytest.mark.parametrize("size", [10, 2_000_000])
+def test_complete_response_is_delivered_though_the_next_one_is_cut(
+    forwarder, sockets, size
+):
+    connection, client = sockets
+    send(connection, client, 1, 2, 3)
+    first, second, third = forwarder.transactions
+    third_call = third.call
+    begin(second, 1_000)
+    second.write_response_body(b"half of it")
+    respond(first, bytes(size))
+    second.cut()
+    received, has_ended = read_all(connection, client, forwarder)
+    assert third_call.cancelled
+    assert received.count(bytes(size)) == 1
+    assert received.endswith(b"half of it")
+    assert has_ended
+
+
+def test_cut_response_without_further_output_ends_the_connection_at_once(
+    forwarder, sockets
+):
+    connection, client = sockets
+    send(connection, client, 1)
+    (transaction,) = forwarder.transactions
+    begin(transaction, 1_000)
+    forwarder.flush()
+    transaction.cut()
+    assert read_all(connection, client, forwarder)[1]
+
+
+def test_slow_client_receives_a_last_response_while_it_makes_progress(
+    forwarder, sockets
+):
+    connection, client = sockets
+    send(connection, client, 1)
+    forwarder.draining = True
+    respond(forwarder.transactions[0], bytes(3_000_000))
+    forwarder.flush()
+    received = 0
+    while part := client.recv(65_536):
+        received += len(part)
+        forwarder.now += LINGER_S / 5
+        connection.handle_events(WRITABLE)
+        forwarder.timers.run_due(forwarder.now)
+    assert received > 3_000_000
