Hold bodies beyond the replay buffer while they may be contained

Callers saw: 502 (unknown) in place of 503 (not run) for a contained order of 200 kB where the replay buffer has 64 kB. Regression of: the whole body decides now, and a body beyond the buffer was passed on before it was known.

--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -342,9 +342,13 @@
         return True
 
     def _start_if_recognized(self) -> None:
-        if self._awaits_fingerprint and self.forwarder.containment.is_recognized(self):
+        if not self._awaits_fingerprint:
+            return
+        if self.forwarder.containment.is_recognized(self):
             self._awaits_fingerprint = False
             self.start()
+        else:
+            self.transaction.resume_reading()
 
     def _clean_up(self) -> None:
         self.is_active = False
--- a/monsoontray/forwarding/containment.py
+++ b/monsoontray/forwarding/containment.py
@@ -40,6 +40,10 @@
 #: server, if that shows only when the server is replaced by a new incarnation.
 LOSS_MEMORY_S = 15.0
 MAX_LOSSES = 64  # of one server; the oldest are forgotten
+#: Longest body of a request with a known start that is kept before it is sent, and how
+#: many bodies may be kept beyond the usual limit at a time.
+MAX_HELD_BYTES = 4_194_304
+MAX_LONG_HELD = 4
 MAX_ENDED = 64  # servers whose ends are remembered; the oldest are forgotten
 
 
@@ -74,6 +78,7 @@
         "_ended",
         "_forwarder",
         "_held",
+        "_long",
         "_losses",
         "_running",
     )
@@ -86,6 +91,8 @@
         self._running: dict[str, Call] = {}  # the suspect at each local server
         self._held: dict[str, deque[Call]] = {}  # suspects that wait for it to end
         self._cleared: dict[str, Clearance] = {}  # as last reported, by fingerprint
+        #: Calls of which more is kept than can be sent again.
+        self._long: set[Call] = set()
 
     def update(self, message: UpdateContainment) -> None:
         """Apply the ends that are known in the fleet."""
@@ -116,8 +123,8 @@
     def is_recognized(self, call: Call) -> bool:
         """Return whether enough of a request is known to start it or to refuse it.
 
-        A body that is not kept can't be read before the call starts. The end of such a
-        request is not sent if the request then turns out to be contained.
+        A body that is not kept can't be read before the call starts. If a request with
+        such a body turns out to be contained, its end is not sent.
         """
         request = call.request
         fingerprint = request.fingerprint
@@ -129,7 +136,7 @@
             return True
         if fingerprint.known and not self._containment.needs_body(fingerprint.known):
             return True
-        return not request.can_hold()
+        return not self._may_hold(call)
 
     def is_contained(self, call: Call) -> bool:
         """Return whether a call is to be refused, by what is known of its request."""
@@ -157,6 +164,7 @@
 
     def remove(self, call: Call) -> None:
         """Remove a call whose attempt has ended; the next suspect takes its place."""
+        self._long.discard(call)
         if not self._running and not self._held:
             return
         for held in self._held.values():
@@ -214,6 +222,18 @@
         """Return how many requests are refused."""
         return self._containment.count_contained()
 
+    def _may_hold(self, call: Call) -> bool:
+        """Return whether more of a call's body may be kept before it starts."""
+        size = call.request.body_size
+        if size < self._forwarder.limits.replay_buffer_bytes:
+            return True
+        if size >= MAX_HELD_BYTES:
+            return False
+        if call not in self._long and len(self._long) >= MAX_LONG_HELD:
+            return False
+        self._long.add(call)
+        return True
+
     def _add_loss(self, call: Call, guard: GuardState) -> Losses | None:
         """Add a call to the losses of its server, if the server may have run it."""
         record = guard.record
--- a/monsoontray/forwarding/sending.py
+++ b/monsoontray/forwarding/sending.py
@@ -147,9 +147,10 @@
         if is_sized and self.fingerprint.body_bytes == self._head.length:
             self.fingerprint.end_body()
 
-    def can_hold(self) -> bool:
-        """Return whether more of the body can be buffered before an attempt."""
-        return self._body.size < self._forwarder.limits.replay_buffer_bytes
+    @property
+    def body_size(self) -> int:
+        """Return how much of the body is buffered."""
+        return self._body.size
 
     def send_body(self, part: bytes) -> None:
         """Buffer a part of the request body, and send it if the hop is ready."""
--- a/tests/test_forwarding/test_containment.py
+++ b/tests/test_forwarding/test_containment.py
@@ -17,6 +17,8 @@
     CHECK_DELAYS_S,
     GATHERING_S,
     LOSS_MEMORY_S,
+    MAX_HELD_BYTES,
+    MAX_LONG_HELD,
     RequestContainment,
 )
 from monsoontray.forwarding.upstream import ConnectOutcome
@@ -78,9 +80,8 @@
             fingerprint=SimpleNamespace(
                 value=fingerprint, known=fingerprint, head=head
             ),
-            can_hold=lambda: self.can_hold,
+            body_size=0,
         )
-        self.can_hold = True
         self.response_started = False
         self.buffered_response = None
         self.is_active = True
@@ -301,7 +302,7 @@
     call.request.fingerprint.value = ""
     assert containment.may_start(call) == starts
     assert call.awaits_fingerprint != starts
-    call.can_hold = False  # the rest is passed on while it arrives
+    call.request.body_size = MAX_HELD_BYTES  # the rest is passed on while it arrives
     assert containment.is_recognized(call)
     call.request.fingerprint.value = call.request.fingerprint.known = LONG
     assert containment.is_contained(call)
@@ -312,3 +313,15 @@
     call = FakeCall(SECOND)
     call.request.fingerprint.value = call.request.fingerprint.known = ""
     assert containment.may_start(call)
+
+
+def test_few_long_bodies_are_held_at_a_time(forwarder, containment):
+    suspect(containment, LONG, ends=3)
+    calls = [FakeCall(FIRST) for _ in range(MAX_LONG_HELD + 1)]
+    for call in calls:
+        call.request.fingerprint.value = ""
+        call.request.body_size = forwarder.limits.replay_buffer_bytes
+    held = [not containment.is_recognized(call) for call in calls]
+    assert held == [True] * MAX_LONG_HELD + [False]
+    containment.remove(calls[0])
+    assert not containment.is_recognized(calls[-1])
