Use a heartbeat as a whole or not at all

Cause: addr and zone were not part of the schema, and the service was not compared with the one that the node serves, so a heartbeat of another writer changed what a server was.

The tests use the new parameter, so they could not run on the code before.

--- a/bench/standins/mesh.py
+++ b/bench/standins/mesh.py
@@ -149,7 +149,7 @@
             "service": service,
             "version": version,
             "addr": address,
-            "zone": "",
+            "zone": "zone",
             "slots": 4,
             "born": int(time.time() * MS_PER_S),
         }
--- a/monsoontray/platform/announcements.py
+++ b/monsoontray/platform/announcements.py
@@ -14,6 +14,7 @@
     PositiveCount,
     Seconds,
     SequenceNumber,
+    SocketAddress,
     Timestamp,
     Token,
 )
@@ -22,14 +23,16 @@
 
 
 class HeartbeatSchema(msgspec.Struct, frozen=True):
-    """JSON schema of a heartbeat."""
+    """JSON schema of a heartbeat; it is used as a whole or not at all."""
 
     service: Name
+    addr: SocketAddress
+    zone: Name
     version: Label
     slots: PositiveCount
     state: str
     seq: SequenceNumber
-    cold_left_s: Seconds = 0.0
+    cold_left_s: Seconds
     born: Timestamp = 0  # start of the incarnation in milliseconds; 0 if not given
 
 
@@ -39,9 +42,11 @@
     born: Timestamp = 0  # start of the incarnation in milliseconds; 0 if not given
 
 
-def decode_heartbeat(server: str, body: bytes) -> Announcement:
-    """Return the announcement; raise DecodingError."""
+def decode_heartbeat(server: str, body: bytes, service: str) -> Announcement:
+    """Return the announcement of a server of a service; raise DecodingError."""
     heartbeat: HeartbeatSchema = decode_json(body, HeartbeatSchema)
+    if heartbeat.service != service:
+        raise DecodingError(f"'service' is {heartbeat.service!r}, not {service!r}")
     if heartbeat.state not in _STATES:
         raise DecodingError(
             f"'state' is {heartbeat.state!r}, not one of {', '.join(_STATES)}"
--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -57,10 +57,11 @@
 class EndpointHandlers:
     """Handlers that translate HTTP requests to messages."""
 
-    __slots__ = ("_kernel", "_routes")
+    __slots__ = ("_kernel", "_routes", "_service")
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
+        self._service: str = kernel.find("settings").settings.get_string("service")
         self._routes = {
             "/readiness": self.check_readiness,
             "/rpc": self.handle_announcement,
@@ -94,7 +95,7 @@
         """Handle a heartbeat or deregistration of a backend server."""
         call, server = request.query.get("call", ""), request.query.get("of", "")
         try:
-            build_message = _decode_call(call, server, request.body)
+            build_message = _decode_call(call, server, request.body, self._service)
         except DecodingError as error:
             self._kernel.find("metrics").count_refused_entry("announcement")
             logger.bind(call=call, server=server).warning(
@@ -200,10 +201,12 @@
         raise TypeError(f"the endpoint accepts no messages: {message!r}")
 
 
-def _decode_call(call: str, of: str, body: bytes) -> Callable[[Any], object]:
+def _decode_call(
+    call: str, of: str, body: bytes, service: str
+) -> Callable[[Any], object]:
     server = decode_server_name(of)
     if call == HEARTBEAT_CALL:
-        announcement = decode_heartbeat(server, body)
+        announcement = decode_heartbeat(server, body, service)
         return lambda reply: ServerAnnounced(announcement, reply)
     if call == DEREGISTRATION_CALL:
         born = decode_deregistration(body)
--- a/tests/test_decoding/test_decoders.py
+++ b/tests/test_decoding/test_decoders.py
@@ -85,7 +85,7 @@
 #: A valid document and the decoder of each kind.
 KINDS = {
     "node": (NODE, lambda data: decode_node(Record("nodes/node-0", 1, data))),
-    "heartbeat": (HEARTBEAT, lambda data: decode_heartbeat("i-1", data)),
+    "heartbeat": (HEARTBEAT, lambda data: decode_heartbeat("i-1", data, "one")),
     "deregistration": ({"born": 5}, decode_deregistration),
     "configuration": (
         build_configuration(3, build_route("/a/", "one")),
