Move calls away from a server that leaves if it has received nothing of them

Cause: only a new request for a slot asked whether the server leaves, not the granting of one to a call that waits. Waiting calls now fail as not run, and go to other servers; no slot of a leaving server is granted. Another form, found here: a call that held a slot while its body was awaited was sent whenever the body came; it is moved too.

--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -243,9 +243,9 @@
 
     def grant_waiting(self, now: float) -> Any | None:
         """Grant a free slot to a queued call and return the call, if any."""
-        if self.in_use >= self.get_capacity() or not (
-            self._is_within_cold_limit(now) and self._is_within_pace(now)
-        ):
+        if self.is_leaving or self.in_use >= self.get_capacity():
+            return None
+        if not (self._is_within_cold_limit(now) and self._is_within_pace(now)):
             return None
         call = self._pop_waiting(now)
         if call is not None:
--- a/monsoontray/forwarding/announcements.py
+++ b/monsoontray/forwarding/announcements.py
@@ -60,6 +60,7 @@
             call.forwarder.kernel.post(
                 "membership", ServerLeaving(record.server, record.born)
             )
+            call.forwarder.guards.move_unsent(guard)
     if is_leaving and isinstance(call.route, EntryRoute):
         call.forwarder.add_departure(call.route.service, call.server)
 
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -54,6 +54,7 @@
 from monsoontray.settings.settings import parse_address
 
 if TYPE_CHECKING:
+    from monsoontray.decisions.guard import GuardState
     from monsoontray.decisions.rollouts import RolloutPlan
     from monsoontray.decisions.routing import RouteTable
     from monsoontray.forwarding.connection import Connection
@@ -195,6 +196,10 @@
         self._calls.discard(call)
         self._end_if_done()
 
+    def find_calls_at(self, guard: GuardState) -> list[Call]:
+        """Return the calls that hold a slot of a local server."""
+        return [call for call in self._calls if call.guard is guard]
+
     def find_candidates(
         self, service: str, route: str, is_retry: bool
     ) -> list[Endpoint]:
--- a/monsoontray/forwarding/guards.py
+++ b/monsoontray/forwarding/guards.py
@@ -92,8 +92,21 @@
             record = self._apply_policy(local.record)
             for call in current.update_record(record, forwarder.now):
                 send_to_local_server(call, current)
+            if current.is_leaving:
+                self.move_unsent(current)
         self.update_closed_guards()
 
+    def move_unsent(self, guard: GuardState) -> None:
+        """Fail the attempts of which a server that leaves has received nothing.
+
+        Other servers can run these calls; later ones may reach this one after its end.
+        """
+        _fail_waiting(guard, Reason.SERVER_LEAVING)
+        for call in self._forwarder.find_calls_at(guard):
+            if call.is_active and not call.request.may_run:
+                call.request.abort()
+                call.fail_attempt(refuse_not_run(Reason.SERVER_LEAVING))
+
     def update_policies(self, routes: Collection[str]) -> None:
         """Apply the service policies and routes of a new configuration."""
         for guard in self._guards.values():
--- a/tests/test_forwarding/test_announcements.py
+++ b/tests/test_forwarding/test_announcements.py
@@ -34,6 +34,8 @@
         metrics=SimpleNamespace(count_refused_entry=counts.append),
         posted=posted,
         counts=counts,
+        moved=(moved := []),
+        guards=SimpleNamespace(move_unsent=moved.append),
     )
     route = GuardRoute("i-1", "", 1, True, 9.0, "read")
     guard = GuardState(RECORD, 9)
--- a/tests/test_forwarding/test_guards.py
+++ b/tests/test_forwarding/test_guards.py
@@ -5,11 +5,13 @@
 from types import SimpleNamespace
 
 import pytest
+from msgspec.structs import replace
 
 from monsoontray.decisions.guard import GuardState, Queued, SlotRequest
 from monsoontray.decisions.outcomes import Ran, Reason
 from monsoontray.decisions.servers import ServerRecord, ServerState
 from monsoontray.forwarding.guards import LocalGuards, _fail_waiting
+from monsoontray.forwarding.messages import LocalServer, UpdateLocalServers
 
 RECORD = ServerRecord("i-1", "one", "v1", (), 1, 130, ServerState.SERVING)
 
@@ -61,3 +63,60 @@
     (refusal,) = calls[0].refusals
     assert (refusal.reason, refusal.ran) == (Reason.NO_SLOT, Ran.NOT_RUN)
     assert guard.in_use == 0
+
+
+LEAVING = replace(RECORD, state=ServerState.LEAVING)
+
+
+def start_guards(calls_at=()):
+    bounds = SimpleNamespace(cold_factor=1.0, cold_slack=0.0)
+    forwarder = SimpleNamespace(
+        now=0.5,
+        containment=SimpleNamespace(update_servers=lambda records: None),
+        limits=SimpleNamespace(guard_queue_length=9),
+        find_calls_at=lambda guard: list(calls_at),
+        route_table=None,
+        location=SimpleNamespace(zone="zone-a"),
+        evacuated_zones=(),
+        http_profile=SimpleNamespace(callers_assign_call_ids=False),
+        versions=SimpleNamespace(find_closed_reason=lambda guard, now: None),
+    )
+    return LocalGuards(forwarder, SimpleNamespace(bounds=bounds))
+
+
+def announce(guards, record):
+    guards.update_servers(UpdateLocalServers((LocalServer(record, None),)))
+
+
+# A call that waited for a slot was sent to a server long after this had said that it
+# leaves.
+def test_waiting_calls_go_to_other_servers_when_theirs_leaves():
+    guards = start_guards()
+    announce(guards, RECORD)
+    guard = guards.find("i-1")
+    guard.request_slot("running", SlotRequest(9.0, 0))
+    call = FakeCall(guard)
+    assert guard.request_slot(call, SlotRequest(9.0, 0)) == Queued()
+    announce(guards, LEAVING)
+    (refusal,) = call.refusals
+    assert (refusal.reason, refusal.ran) == (Reason.SERVER_LEAVING, Ran.NOT_RUN)
+    assert guard.release_slot(1.0) is None
+
+
+@pytest.mark.parametrize("may_run", [False, True])
+def test_call_of_which_nothing_was_sent_goes_to_another_server(guard, may_run):
+    call = FakeCall(guard)
+    call.is_active = True
+    call.aborted = []
+    call.request = SimpleNamespace(
+        may_run=may_run, abort=lambda: call.aborted.append(True)
+    )
+    guards = start_guards([call])
+    announce(guards, LEAVING)
+    assert len(call.refusals) == len(call.aborted) == (0 if may_run else 1)
+
+
+def test_leaving_server_gets_no_waiting_call(guard, calls):
+    guard.update_record(LEAVING, 0.5)
+    assert guard.release_slot(0.5) is None
+    assert guard.in_use == 0
