Give a cold server no call in the first second of a restarted node

Cause: the window of starts is in the process, so a new one used the limit that its predecessor had used in the same second. The first second of a process now counts as used up for servers that are cold; others are not delayed.

With the second left out, 2 of 3 cases of the new test fail (60 and more calls); all pass now.

--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -95,6 +95,7 @@
 
     __slots__ = (
         "_cold",
+        "_cold_start_at",
         "_first_cold_at",
         "_queue",
         "_sequence",
@@ -118,7 +119,11 @@
     )
 
     def __init__(
-        self, record: ServerRecord, queue_limit: int, cold: ColdLimits | None = None
+        self,
+        record: ServerRecord,
+        queue_limit: int,
+        cold: ColdLimits | None = None,
+        cold_start_at: float = -math.inf,
     ) -> None:
         self.record = record
         self.queue_limit = queue_limit
@@ -140,6 +145,9 @@
         self.suspicion = VersionSuspicion()
         self._cold = cold or ColdLimits()
         self._start_times: deque[float] = deque()
+        #: Until then an earlier process of this node may have used up a cold server's
+        #: limit, so the server gets no call.
+        self._cold_start_at = cold_start_at
         #: Time of the first request while the server was cold.
         self._first_cold_at: float | None = None
         self._queue: list[tuple[tuple[bool, int], float, int, WaitingCall]] = []
@@ -342,6 +350,8 @@
     def _is_within_cold_limit(self, now: float) -> bool:
         if not self.is_cold(now):
             return True
+        if now < self._cold_start_at:
+            return False
         self._drop_old_start_times(now)
         max_starts = self.record.cold_per_s * self._cold.factor + self._cold.slack
         if self._first_cold_at is None:
@@ -354,11 +364,11 @@
 
     def _compute_cold_wait(self, now: float) -> float:
         """Return the seconds until a cold server accepts the next call."""
-        return (
-            self._start_times[0] + COLD_WINDOW_S - now
-            if self._start_times
-            else COLD_WINDOW_S
-        )
+        if now < self._cold_start_at:
+            return self._cold_start_at - now
+        if not self._start_times:
+            return COLD_WINDOW_S
+        return self._start_times[0] + COLD_WINDOW_S - now
 
     def _drop_old_start_times(self, now: float) -> None:
         while self._start_times and self._start_times[0] + COLD_WINDOW_S <= now:
--- a/monsoontray/forwarding/guards.py
+++ b/monsoontray/forwarding/guards.py
@@ -7,7 +7,7 @@
 
 from msgspec.structs import replace
 
-from monsoontray.decisions.guard import ColdLimits, GuardState
+from monsoontray.decisions.guard import COLD_WINDOW_S, ColdLimits, GuardState
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.rollouts import ServerEvidence
 from monsoontray.forwarding.attempts import send_to_local_server
@@ -40,6 +40,7 @@
     __slots__ = (
         "_addresses",
         "_cold_limits",
+        "_cold_start_at",
         "_forwarder",
         "_guards",
         "_load_log_due_at",
@@ -53,6 +54,7 @@
         #: Servers for whose queue a recheck is scheduled.
         self._scheduled_rechecks: set[str] = set()
         self._load_log_due_at = 0.0
+        self._cold_start_at = forwarder.now + COLD_WINDOW_S
         self.update_interface(interface)
 
     def __contains__(self, server: str) -> bool:
@@ -86,7 +88,9 @@
             current = self._guards.get(name)
             if current is None:
                 limit = forwarder.limits.guard_queue_length
-                current = GuardState(local.record, limit, self._cold_limits)
+                current = GuardState(
+                    local.record, limit, self._cold_limits, self._cold_start_at
+                )
                 self._guards[name] = current
             current.confirmed = True
             record = self._apply_policy(local.record)
--- a/tests/test_decisions/test_guard.py
+++ b/tests/test_decisions/test_guard.py
@@ -147,6 +147,31 @@
     assert len(times) > 60
 
 
+# A restarted node sent a cold server as many calls as its earlier process just had.
+@pytest.mark.parametrize("killed_after_s", [0.1, 0.4, 0.9])
+def test_cold_server_stays_within_its_limit_when_its_node_restarts(killed_after_s):
+    record = replace(RECORD, slots=100, cold_until=50.0, cold_per_s=21.0)
+    cold = ColdLimits(1.5, 5.0)
+    starts = []
+
+    def send(guard, begin, end):
+        for i in range(int(begin * 200), int(end * 200)):
+            now = i / 200
+            if guard.request_slot(i, SlotRequest(99.0, 0), now) == Granted():
+                starts.append(now)
+                guard.release_slot(now)
+
+    send(GuardState(record, 9, cold), 2.0, 3.0 + killed_after_s)
+    started_at = 3.0 + killed_after_s + 0.2
+    restarted = GuardState(record, 9, cold, started_at + COLD_WINDOW_S)
+    send(restarted, started_at + 0.2, started_at + 5.0)
+    for begin in starts:
+        in_a_second = [each for each in starts if begin <= each < begin + 1.0]
+        assert len(in_a_second) <= 21.0 * 1.5 + 5.0
+    refusal = GuardState(record, 9, cold, 9.0).request_slot(0, SlotRequest(99.0, 0), 8)
+    assert (refusal.reason, refusal.retry_after_s) == (Reason.SERVER_COLD, 1.0)
+
+
 def test_unconfirmed_server_is_treated_as_cold():
     record = replace(RECORD, slots=100, cold_per_s=1.0)
     guard = GuardState(record, 9, ColdLimits(1.0, 0.5))
