Keep acknowledged leavings in the store for the next process

Cause: the next process learned of a leaving from the node's record only, which a planned stop revokes and whose lease of 3 s a kill lets expire. A record of departures with a lease of its own now outlives both. It is written before the leaving is acknowledged; a server waits for this 0.4 s at most, so while the store is out a kill at that moment can still lose it.

The tests use the new messages, so they could not run on the code before. test_departure_is_acknowledged... keeps its checks; the order now has the store between the guard's update and the acknowledgement.

--- a/monsoontray/decisions/announcements.py
+++ b/monsoontray/decisions/announcements.py
@@ -3,19 +3,31 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterable
 
 from msgspec import Struct
 from msgspec.structs import replace
 
 from monsoontray.decisions.servers import ServerRecord, ServerState
+from monsoontray.decoding.values import Timestamp, Token
 
 MAX_ENDED_INCARNATIONS = 64  # the oldest ones are dropped
 #: Time for which announcements of a server are ignored after it left without naming
 #: its incarnation. Announcements may arrive seconds late.
 DEPARTURE_RETENTION_S = 15.0
+#: Departures that the next process of a node learns of; the oldest are dropped.
+MAX_DEPARTURES = 16
 _MS_PER_S = 1000
 
 
+class Departure(Struct, frozen=True, array_like=True):
+    """Leaving of a server that was acknowledged; the field order is the format."""
+
+    server: Token
+    born: Timestamp  # start of its incarnation in milliseconds; 0 if it was not named
+    left_ms: Timestamp  # milliseconds since the epoch
+
+
 class Announcement(Struct, frozen=True):
     """Announcement of a backend server to the node on its VM."""
 
@@ -42,6 +54,7 @@
     """Current announcement of the server on this VM, and incarnations that ended."""
 
     __slots__ = (
+        "_acknowledged",
         "_current",
         "_departures",
         "_ended_incarnations",
@@ -52,6 +65,8 @@
     def __init__(self) -> None:
         self._current: Announcement | None = None
         self._last_left: Announcement | None = None
+        #: Departures that were acknowledged here or in an earlier process.
+        self._acknowledged: dict[tuple[str, int], Departure] = {}
         self.cold_until = 0.0
         #: Incarnations that left or were replaced by a later one, the oldest first.
         self._ended_incarnations: dict[tuple[str, int], None] = {}
@@ -108,6 +123,38 @@
         self._current = None
         return True
 
+    def acknowledge_departure(self, server: str, born: int, wall_time: float) -> bool:
+        """Record a leaving that is acknowledged; return whether it is a new one."""
+        if (server, born) in self._acknowledged:
+            return False
+        departure = Departure(server, born, int(wall_time * _MS_PER_S))
+        self._acknowledged[(server, born)] = departure
+        while len(self._acknowledged) > MAX_DEPARTURES:
+            del self._acknowledged[next(iter(self._acknowledged))]
+        return True
+
+    def get_departures(self) -> tuple[Departure, ...]:
+        """Return the departures that the next process of this node must know."""
+        return tuple(self._acknowledged.values())
+
+    def restore(self, departures: Iterable[Departure], now: float) -> bool:
+        """Apply departures that an earlier process has acknowledged.
+
+        Return whether the current server is one of them.
+        """
+        is_current = False
+        for each in departures:
+            self._acknowledged.setdefault((each.server, each.born), each)
+            if each.born:
+                is_current |= self.restore_departure(each.server, each.born)
+                continue
+            until = now + DEPARTURE_RETENTION_S
+            self._departures[each.server] = (until, each.left_ms)
+            current = self._current
+            if current is not None and self._is_departed(current, now):
+                is_current |= self.restore_departure(current.server, current.born)
+        return is_current
+
     def restore_departure(self, server: str, born: int) -> bool:
         """Apply that an incarnation was leaving or had left in an earlier process.
 
--- a/monsoontray/discovery/encoding.py
+++ b/monsoontray/discovery/encoding.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Sequence
+from typing import Annotated
 
 import msgspec
 
 from monsoontray.containment.encoding import PREFIX as CONTAINMENT_PREFIX
+from monsoontray.decisions.announcements import MAX_DEPARTURES, Departure
 from monsoontray.decisions.deltas import Delta
 from monsoontray.decisions.directory import ListedNode
 from monsoontray.decoding.documents import decode_json, decode_msgpack, decompress
@@ -14,9 +17,16 @@
 from monsoontray.decoding.values import Revision
 from monsoontray.store.outcomes import Record
 
-#: Prefixes of the keys that nodes mirror for each other.
-MIRRORED_PREFIXES = ("op/", "nodes/", "rollouts/", CONTAINMENT_PREFIX)
 NODE_KEY_PREFIX = "nodes/"
+DEPARTURES_KEY_PREFIX = "departures/"
+#: Prefixes of the keys that nodes mirror for each other.
+MIRRORED_PREFIXES = (
+    "op/",
+    "rollouts/",
+    NODE_KEY_PREFIX,
+    DEPARTURES_KEY_PREFIX,
+    CONTAINMENT_PREFIX,
+)
 #: Values of at least this size are sent as deltas.
 DELTA_MIN_BYTES = 4_096
 #: Achieves most of the compression of higher levels, in a third of the time.
@@ -43,6 +53,11 @@
     removed: tuple[tuple[str, Revision], ...] = ()  # keys and revisions
 
 
+DepartureList = Annotated[
+    tuple[Departure, ...], msgspec.Meta(max_length=MAX_DEPARTURES)
+]
+
+
 def encode_response(response: MirrorResponse) -> bytes:
     """Return a response as compressed MessagePack."""
     return zlib.compress(msgspec.msgpack.encode(response), _COMPRESSION_LEVEL)
@@ -60,3 +75,14 @@
     if record.key != NODE_KEY_PREFIX + node.node:
         raise DecodingError(f"the record is of node {node.node!r}")
     return node
+
+
+def encode_departures(departures: Sequence[Departure]) -> bytes:
+    """Return the value of a node's record of departures."""
+    return msgspec.json.encode(departures)
+
+
+def decode_departures(record: Record) -> tuple[Departure, ...]:
+    """Return the departures that a record describes; raise DecodingError."""
+    departures: tuple[Departure, ...] = decode_json(record.value, DepartureList)
+    return departures
--- a/monsoontray/discovery/messages.py
+++ b/monsoontray/discovery/messages.py
@@ -45,6 +45,18 @@
     value: bytes
 
 
+class PublishDepartures(Struct, frozen=True):
+    """Write this node's record of departures to the store."""
+
+    value: bytes
+
+
+class DeparturesWritten(Struct, frozen=True):
+    """Report that the store has confirmed a record of departures."""
+
+    value: bytes
+
+
 class WithdrawNode(Struct, frozen=True):
     """Remove this node's record from the store."""
 
--- a/monsoontray/discovery/publisher.py
+++ b/monsoontray/discovery/publisher.py
@@ -7,8 +7,13 @@
 from typing import TYPE_CHECKING, Any
 
 from monsoontray.decisions.backoff import compute_retry_time
-from monsoontray.discovery.encoding import NODE_KEY_PREFIX
-from monsoontray.discovery.messages import PublishNode, WithdrawNode
+from monsoontray.discovery.encoding import DEPARTURES_KEY_PREFIX, NODE_KEY_PREFIX
+from monsoontray.discovery.messages import (
+    DeparturesWritten,
+    PublishDepartures,
+    PublishNode,
+    WithdrawNode,
+)
 from monsoontray.kernel.kernel import CrashPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
 from monsoontray.logs import logger
@@ -22,10 +27,16 @@
 RENEWALS_PER_LIFETIME = 3
 INITIAL_RETRY_DELAY_S = 0.1  # doubled after each further failed call
 MAX_RETRY_DELAY_S = 0.8
+#: Time for which the store keeps which servers have left. It exceeds the time for which
+#: a server goes on serving then, and the time by which its heartbeats may be late.
+DEPARTURES_LIFETIME_S = 120.0
 
 
 class Publisher(Task):
-    """Task that owns the lease of this node's record and a client of the store."""
+    """Task that owns this node's records, their leases and a client of the store.
+
+    The record of departures outlives the process: it binds the next one.
+    """
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(NAME, kernel, handle_message)
@@ -39,6 +50,9 @@
         self._lease: Lease | None = None
         self._value = b""
         self._is_written = False
+        self._departures_key = DEPARTURES_KEY_PREFIX + node
+        self._departures_lease: Lease | None = None
+        self._unwritten_departures: bytes | None = None
         self._next_attempt_at = self.clock.now()
 
     def find_next_deadline(self) -> float | None:
@@ -46,9 +60,12 @@
         return self._next_attempt_at
 
     def on_deadline(self) -> None:
-        """Obtain or renew the lease and write the record if it is not written."""
+        """Obtain or renew the lease and write the records that are not written."""
         has_lease = self._ensure_lease()
-        if has_lease and (not self._value or self._is_written or self._write()):
+        are_written = self._unwritten_departures is None and (
+            not self._value or self._is_written
+        )
+        if has_lease and (are_written or self._write()):
             self._failures = 0
             self._next_attempt_at = (
                 self.clock.now() + self._lifetime_s / RENEWALS_PER_LIFETIME
@@ -69,6 +86,11 @@
         self._is_written = False
         self._next_attempt_at = self.clock.now()
 
+    def publish_departures(self, value: bytes) -> None:
+        """Write the record of departures."""
+        self._unwritten_departures = value
+        self._next_attempt_at = self.clock.now()
+
     def withdraw(self) -> None:
         """Remove the record by revoking its lease."""
         self._value = b""
@@ -77,7 +99,9 @@
             self._lease = None
 
     def close(self) -> None:
-        """Revoke the lease and close the client."""
+        """Write what is left, revoke the lease of the node and close the client."""
+        if self._unwritten_departures is not None:
+            self._write()
         self.withdraw()
         self._client.close()
 
@@ -105,14 +129,35 @@
         return False
 
     def _write(self) -> bool:
-        """Write the record; return whether the store confirmed it."""
-        assert self._lease is not None
-        put = Put(self._key, self._value, self._lease.lease_id)
-        outcome = self._client.commit({}, (put,))
+        """Write the records; return whether the store confirmed them."""
+        puts = []
+        if self._lease is not None and self._value and not self._is_written:
+            puts.append(Put(self._key, self._value, self._lease.lease_id))
+        departures = self._unwritten_departures
+        if departures is not None:
+            lease = self._ensure_departures_lease()
+            if lease is None:
+                return False
+            puts.append(Put(self._departures_key, departures, lease.lease_id))
+        outcome = self._client.commit({}, tuple(puts))
         if outcome == NotDone(Cause.LEASE_EXPIRED):
-            self._lease = None
-        self._is_written = isinstance(outcome, Done)
-        return self._is_written
+            self._lease = self._departures_lease = None
+        if not isinstance(outcome, Done):
+            return False
+        self._is_written = bool(self._value)
+        if departures is not None:
+            self._unwritten_departures = None
+            self.kernel.post("membership", DeparturesWritten(departures))
+        return True
+
+    def _ensure_departures_lease(self) -> Lease | None:
+        """Return a lease of which half is left at least, or None."""
+        lease = self._departures_lease
+        min_left_s = DEPARTURES_LIFETIME_S / 2
+        if lease is None or lease.deadline - self.clock.now() < min_left_s:
+            outcome = self._client.grant_lease(DEPARTURES_LIFETIME_S)
+            self._departures_lease = outcome if isinstance(outcome, Lease) else None
+        return self._departures_lease
 
 
 @singledispatch
@@ -126,6 +171,11 @@
     publisher.publish(message.value)
 
 
+@handle_message.register(PublishDepartures)
+def _(message: PublishDepartures, publisher: Publisher) -> None:
+    publisher.publish_departures(message.value)
+
+
 @handle_message.register(WithdrawNode)
 def _(message: WithdrawNode, publisher: Publisher) -> None:
     publisher.withdraw()
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -15,10 +15,18 @@
 from monsoontray.decisions.sources import StoreAccess, choose_store_access
 from monsoontray.decoding.errors import DecodingError
 from monsoontray.decoding.refusals import EntryRefusals
-from monsoontray.discovery.encoding import NODE_KEY_PREFIX, decode_node
+from monsoontray.discovery.encoding import (
+    DEPARTURES_KEY_PREFIX,
+    NODE_KEY_PREFIX,
+    decode_departures,
+    decode_node,
+    encode_departures,
+)
 from monsoontray.discovery.messages import (
     ChooseStoreAccess,
+    DeparturesWritten,
     DescribeNodes,
+    PublishDepartures,
     PublishNode,
     ServerAnnounced,
     ServerLeft,
@@ -40,10 +48,14 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from monsoontray.kernel.mailbox import Reply
     from monsoontray.settings.settings import Settings
     from monsoontray.store.outcomes import Record
 
 NAME = "membership"
+#: Longest time for which a server waits until the store has its leaving. Then it is
+#: acknowledged all the same, because a server waits a second only.
+MAX_ACKNOWLEDGEMENT_DELAY_S = 0.4
 
 
 class Discovery(Task):
@@ -55,6 +67,9 @@
         self._settings = settings
         self._node = settings.get_string("node")
         self._key = NODE_KEY_PREFIX + self._node
+        self._departures_key = DEPARTURES_KEY_PREFIX + self._node
+        #: Replies that wait for the store, with the time at which they are due.
+        self._unacknowledged: list[tuple[float, Reply]] = []
         self._refusals = EntryRefusals(kernel.find("metrics"), "node")
         self._incarnation = time.time_ns()
         self._directory = NodeDirectory()
@@ -68,17 +83,29 @@
         )
 
     def find_next_deadline(self) -> float | None:
-        """Return when the next unlisted node is removed."""
-        return self._directory.find_next_deadline()
+        """Return when an unlisted node is removed or a leaving acknowledged."""
+        due = [deadline for deadline, _ in self._unacknowledged]
+        directory_due = self._directory.find_next_deadline()
+        return min(
+            due + ([] if directory_due is None else [directory_due]), default=None
+        )
 
     def on_deadline(self) -> None:
-        """Remove nodes that have been unlisted for too long."""
-        if self._directory.expire(self.clock.now()):
+        """Remove nodes that have been unlisted for too long; acknowledge leavings."""
+        now = self.clock.now()
+        if any(deadline <= now for deadline, _ in self._unacknowledged):
+            self.acknowledge_departures()
+        if self._directory.expire(now):
             self._update_servers()
 
     def apply_listing(self, records: Sequence[Record]) -> None:
         """Replace the listed nodes by those of the store's records."""
-        decoded = [self._decode_node(record) for record in records]
+        self._restore_departures(records)
+        decoded = [
+            self._decode_node(record)
+            for record in records
+            if record.key.startswith(NODE_KEY_PREFIX)
+        ]
         nodes = [node for node in decoded if node is not None]
         own = [node for node in nodes if node.node == self._node]
         others = [node for node in nodes if node.node != self._node]
@@ -93,6 +120,8 @@
         """Apply records that were written or removed in the store."""
         now = self.clock.now()
         for record in message.records:
+            if not record.key.startswith(NODE_KEY_PREFIX):
+                continue  # departures bind from the start of a process
             node = self._decode_node(record)
             if record.key == self._key:
                 self._check_own_record(node)
@@ -102,6 +131,8 @@
             else:
                 self._directory.add(node)
         for record in message.removed:
+            if not record.key.startswith(NODE_KEY_PREFIX):
+                continue
             name = record.key.removeprefix(NODE_KEY_PREFIX)
             if record.key == self._key:
                 logger.warning("own record was removed from the store")
@@ -127,7 +158,10 @@
             ).info("local server changed")
             self._publish()
             self._update_servers()
-        message.reply.put(effect)
+        if announcement.state is ServerState.LEAVING:
+            self._acknowledge(announcement.server, announcement.born, message.reply)
+        else:
+            message.reply.put(effect)
 
     def handle_departure(self, message: ServerLeft) -> None:
         """Remove a server that has left."""
@@ -140,7 +174,18 @@
             self._update_guard()
             self._publish()
             self._update_servers()
-        message.reply.put(AnnouncementEffect.CHANGED)
+        self._acknowledge(message.server, message.born, message.reply)
+
+    def acknowledge_departures(self) -> None:
+        """Acknowledge the leavings that the store has, or that have waited for it."""
+        waiting, self._unacknowledged = self._unacknowledged, []
+        for _, reply in waiting:
+            reply.put(AnnouncementEffect.CHANGED)
+
+    def handle_departures_written(self, message: DeparturesWritten) -> None:
+        """Acknowledge the leavings if the store has the latest of them."""
+        if message.value == encode_departures(self._local_server.get_departures()):
+            self.acknowledge_departures()
 
     def handle_leaving(self, message: ServerLeaving) -> None:
         """Publish that a local server leaves, as it has said in a response."""
@@ -148,6 +193,7 @@
             logger.bind(server=message.server, born=message.born).info(
                 "local server says that it leaves"
             )
+            self._remember_departure(message.server, message.born)
             self._update_guard()
             self._publish()
             self._update_servers()
@@ -163,6 +209,37 @@
         read_by_all = self._settings.get_int("read_by_all")
         return choose_store_access(self._location, listed, read_by_all, self._random)
 
+    def _acknowledge(self, server: str, born: int, reply: Reply) -> None:
+        """Acknowledge a leaving once the store has it, so that it binds this node."""
+        if self._remember_departure(server, born):
+            deadline = self.clock.now() + MAX_ACKNOWLEDGEMENT_DELAY_S
+            self._unacknowledged.append((deadline, reply))
+        else:
+            reply.put(AnnouncementEffect.REPEATED)
+
+    def _remember_departure(self, server: str, born: int) -> bool:
+        """Write a leaving to the store; return whether it is a new one."""
+        wall_time = self.clock.wall_time()
+        if not self._local_server.acknowledge_departure(server, born, wall_time):
+            return False
+        value = encode_departures(self._local_server.get_departures())
+        self.kernel.post("publisher", PublishDepartures(value))
+        return True
+
+    def _restore_departures(self, records: Iterable[Record]) -> None:
+        """Take over which servers have left, as earlier processes acknowledged it."""
+        for record in records:
+            if record.key != self._departures_key:
+                continue
+            try:
+                departures = decode_departures(record)
+            except DecodingError as error:
+                self._refusals.report(record, error)
+                continue
+            if self._local_server.restore(departures, self.clock.now()):
+                logger.info("local server is leaving, as an earlier process knew")
+                self._update_guard()
+
     def _build_node(self) -> ListedNode:
         server = _build_server(self._local_server)
         return ListedNode(
@@ -284,6 +361,11 @@
     discovery.handle_departure(message)
 
 
+@handle_message.register(DeparturesWritten)
+def _(message: DeparturesWritten, discovery: Discovery) -> None:
+    discovery.handle_departures_written(message)
+
+
 @handle_message.register(ServerUnconfirmed)
 def _(message: ServerUnconfirmed, discovery: Discovery) -> None:
     logger.bind(server=message.server, reason=message.reason).warning(
--- a/monsoontray/discovery/watch.py
+++ b/monsoontray/discovery/watch.py
@@ -11,7 +11,11 @@
 from monsoontray.containment.encoding import PREFIX as CONTAINMENT_PREFIX
 from monsoontray.decisions.backoff import compute_retry_time
 from monsoontray.decisions.sources import StoreAccess
-from monsoontray.discovery.encoding import MIRRORED_PREFIXES
+from monsoontray.discovery.encoding import (
+    DEPARTURES_KEY_PREFIX,
+    MIRRORED_PREFIXES,
+    NODE_KEY_PREFIX,
+)
 from monsoontray.discovery.messages import (
     ChooseStoreAccess,
     StoreAccessChanged,
@@ -38,7 +42,7 @@
     ("mirror", MIRRORED_PREFIXES),
     ("rollouts", ("rollouts/",)),
     ("operator", ("op/",)),
-    ("membership", ("nodes/",)),
+    ("membership", (NODE_KEY_PREFIX, DEPARTURES_KEY_PREFIX)),
 )
 ALL_KEYS = ""
 INITIAL_RETRY_DELAY_S = 0.1  # doubled after each further failed call
--- a/tests/test_discovery/test_publisher.py
+++ b/tests/test_discovery/test_publisher.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from monsoontray.discovery.messages import PublishNode
+from monsoontray.discovery.messages import (
+    DeparturesWritten,
+    PublishDepartures,
+    PublishNode,
+)
 from monsoontray.discovery.publisher import Publisher, handle_message
 from tests.fakes import FakeKernel
 
@@ -88,3 +92,44 @@
     publisher = publish(kernel)
     publisher.close()
     assert kernel.store.records == {}
+
+
+DEPARTURES_KEY = "departures/node-0"
+
+
+# The record of a server's leaving was removed by the stop of the node that had
+# acknowledged it.
+def test_departures_outlive_the_process_for_the_time_of_late_heartbeats(kernel):
+    publisher = publish(kernel)
+    handle_message(PublishDepartures(b"left"), publisher)
+    run(publisher, kernel, 0.1)
+    assert kernel.pop_posted("membership") == [DeparturesWritten(b"left")]
+    publisher.close()
+    assert KEY not in kernel.store.records
+    assert kernel.store.records[DEPARTURES_KEY].value == b"left"
+    lease = kernel.store.lease_ids[DEPARTURES_KEY]
+    assert kernel.store.leases[lease] >= kernel.clock.now() + 60.0
+
+
+def test_departures_are_written_after_an_outage_and_at_the_stop(kernel):
+    publisher = publish(kernel)
+    kernel.store.unreachable = True
+    handle_message(PublishDepartures(b"first"), publisher)
+    run(publisher, kernel, 5.0)
+    assert kernel.pop_posted("membership") == []
+    kernel.store.unreachable = False
+    run(publisher, kernel, 2.0)
+    assert kernel.store.records[DEPARTURES_KEY].value == b"first"
+    handle_message(PublishDepartures(b"second"), publisher)
+    publisher.close()
+    assert kernel.store.records[DEPARTURES_KEY].value == b"second"
+
+
+def test_departures_shortly_after_each_other_share_a_lease(kernel):
+    publisher = publish(kernel)
+    leases = len(kernel.store.leases)
+    for value in (b"first", b"second", b"third"):
+        handle_message(PublishDepartures(value), publisher)
+        run(publisher, kernel, 1.0)
+    assert kernel.store.records[DEPARTURES_KEY].value == b"third"
+    assert len(kernel.store.leases) == leases + 1
--- a/tests/test_discovery/test_service.py
+++ b/tests/test_discovery/test_service.py
@@ -8,6 +8,9 @@
 from monsoontray.decisions.directory import ListedNode
 from monsoontray.decisions.servers import ServerState
 from monsoontray.discovery.messages import (
+    DeparturesWritten,
+    PublishDepartures,
+    PublishNode,
     ServerAnnounced,
     ServerLeft,
     StoreChanged,
@@ -19,6 +22,7 @@
     UpdateLocalServers,
     UpdateServers,
 )
+from monsoontray.kernel.errors import ReplyTimeoutError
 from monsoontray.kernel.mailbox import Reply
 from monsoontray.store.outcomes import Record
 from tests.fakes import FakeKernel
@@ -44,9 +48,17 @@
     reply = Reply(kernel.clock)
     message = ServerAnnounced(replace(HEARTBEAT, **changes), reply)
     handle_message(message, discovery)
+    confirm_departures(discovery, kernel)
     return reply.wait(kernel.clock.now())
 
 
+def confirm_departures(discovery, kernel):
+    """Let the store confirm the departures that were written."""
+    for message in kernel.posted["publisher"]:
+        if isinstance(message, PublishDepartures):
+            handle_message(DeparturesWritten(message.value), discovery)
+
+
 def get_local_servers(kernel):
     messages = kernel.pop_posted("forwarding")
     local_servers = [m for m in messages if isinstance(m, UpdateLocalServers)]
@@ -57,6 +69,7 @@
     return [
         msgspec.json.decode(message.value, type=ListedNode)
         for message in kernel.pop_posted("publisher")
+        if isinstance(message, PublishNode)
     ]
 
 
@@ -79,8 +92,70 @@
     assert read_published(kernel)[0].server.leaving
     reply = Reply(kernel.clock)
     handle_message(ServerLeft("i-1", 0, reply), discovery)
-    assert reply.wait(kernel.clock.now()) is AnnouncementEffect.CHANGED
     assert get_local_servers(kernel) == ()
+    confirm_departures(discovery, kernel)
+    assert reply.wait(kernel.clock.now()) is AnnouncementEffect.CHANGED
+
+
+def test_departure_is_acknowledged_a_little_later_if_the_store_is_out(
+    discovery, kernel
+):
+    announce(discovery, kernel)
+    reply = Reply(kernel.clock)
+    handle_message(ServerLeft("i-1", HEARTBEAT.born, reply), discovery)
+    with pytest.raises(ReplyTimeoutError):
+        reply.wait(kernel.clock.now())
+    kernel.clock.seconds = discovery.find_next_deadline()
+    discovery.on_deadline()
+    assert reply.wait(kernel.clock.now()) is AnnouncementEffect.CHANGED
+    assert discovery.find_next_deadline() is None
+
+
+# A heartbeat that was delayed until after a restart brought back a server whose leaving
+# the earlier process had acknowledged.
+@pytest.mark.parametrize("born", [0, HEARTBEAT.born])
+@pytest.mark.parametrize("leaves", [True, False])
+@pytest.mark.parametrize("is_late", [False, True])
+def test_acknowledged_leaving_binds_the_next_process(kernel, born, leaves, is_late):
+    earlier = Discovery(kernel)
+    handle_message(StoreListed((), 1), earlier)
+    announce(earlier, kernel)
+    if leaves:
+        announce(earlier, kernel, sequence=2, state=ServerState.LEAVING)
+    else:
+        handle_message(ServerLeft("i-1", born, Reply(kernel.clock)), earlier)
+    written = [
+        message.value
+        for message in kernel.pop_posted("publisher")
+        if isinstance(message, PublishDepartures)
+    ]
+    kernel.posted.clear()
+    record = Record("departures/node-0", 5, written[-1])
+    other = Record("departures/node-1", 5, b"[]")
+    later = Discovery(kernel)
+    if is_late:
+        handle_message(StoreListed((record, other), 5), later)
+    effect = announce(later, kernel, sequence=9)
+    if not is_late:
+        handle_message(StoreListed((record, other), 5), later)
+    else:
+        assert effect is AnnouncementEffect.STALE
+    local_servers = get_local_servers(kernel)
+    assert not local_servers or local_servers[0].record.state is ServerState.LEAVING
+    published = read_published(kernel)
+    assert all(each.server is None or each.server.leaving for each in published)
+    # A new incarnation is used, also under the same id.
+    born = HEARTBEAT.born + 120_000
+    assert announce(later, kernel, born=born) is AnnouncementEffect.CHANGED
+
+
+def test_odd_record_of_departures_is_refused(kernel):
+    discovery = Discovery(kernel)
+    for value in (b"", b"[" * 100_000, b'[["i-1"]]', b'[["i-1",-1,0]]'):
+        handle_message(
+            StoreListed((Record("departures/node-0", 5, value),), 5), discovery
+        )
+    assert announce(discovery, kernel) is AnnouncementEffect.CHANGED
 
 
 def test_late_heartbeat_is_ignored(discovery, kernel):
