--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -125,9 +125,11 @@
     def reject(self, malformed: Malformed) -> None:
         """Refuse a malformed request and close the connection."""
         refusal = refuse_not_run(malformed.reason)
+        call_id = ""
         transaction = self._find_incoming()
         if transaction is not None and transaction.call is not None:
             call = transaction.call
+            call_id = call.call_id
             transaction.call = None
             response_started = call.response_started
             refusal = call.build_refusal(malformed.reason)
@@ -142,7 +144,7 @@
             self._transactions.append(transaction)
         transaction.closes_connection = True
         self.forwarder.report.record_refused_connection(refusal, malformed.detail)
-        transaction.refuse(refusal, None)
+        transaction.refuse(refusal, None, call_id)
 
     def refuse_connection(self, refusal: Refusal) -> None:
         """Refuse the connection before any request and close it."""
