Let connections, listeners and sides name what they need of their task

Connection, Listener and find_route took the whole forwarding task; they state now as protocols which parts they use.

--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -36,10 +36,12 @@
         "_processing",
         "_timer",
         "_transactions",
+        "forwarder",
         "side",
     )
 
     def __init__(self, sock: socket.socket, forwarder: Forwarder, side: Any) -> None:
+        self.forwarder = forwarder
         super().__init__(sock, forwarder)
         self.side = side
         self._parser = RequestParser(forwarder.limits.head, side.extra_headers)
--- a/monsoontray/forwarding/connection.py
+++ b/monsoontray/forwarding/connection.py
@@ -4,12 +4,14 @@
 
 import contextlib
 import socket
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from monsoontray.kernel.sockets import ERROR_OR_HANGUP, READABLE, WRITABLE
-
-if TYPE_CHECKING:
-    from monsoontray.forwarding.forwarder import Forwarder
+from monsoontray.kernel.sockets import (
+    ERROR_OR_HANGUP,
+    READABLE,
+    WRITABLE,
+    SocketOwner,
+)
 
 MAX_READ_BYTES = 65_536
 #: A connection fails when the peer doesn't acknowledge sent bytes for this long, so
@@ -17,16 +19,31 @@
 USER_TIMEOUT_MS = 1_500
 
 
+class SocketLoop(Protocol):
+    """What a connection needs of the task that owns it."""
+
+    dirty_connections: list[Connection]  # whose output is sent after the current event
+
+    def add_socket(self, descriptor: int, owner: SocketOwner, events: int) -> None:
+        """Pass the events of a file descriptor to its owner."""
+
+    def change_events(self, descriptor: int, events: int) -> None:
+        """Change which events of a file descriptor are reported."""
+
+    def remove_socket(self, descriptor: int) -> None:
+        """Stop reporting events of a file descriptor."""
+
+
 class Connection:
     """A non-blocking socket with an output buffer."""
 
     __slots__ = (
         "_descriptor",
         "_events",
+        "_loop",
         "_output",
         "closed",
         "dirty",
-        "forwarder",
         "is_reset",
         "paused",
         "sock",
@@ -34,10 +51,10 @@
     )
 
     def __init__(
-        self, sock: socket.socket, forwarder: Forwarder, events: int = READABLE
+        self, sock: socket.socket, loop: SocketLoop, events: int = READABLE
     ) -> None:
         self.sock = sock
-        self.forwarder = forwarder
+        self._loop = loop
         self.closed = False
         self.dirty = False  # waits for flush in forwarder.dirty_connections
         self.is_reset = False  # a call on the socket has reported an error
@@ -46,7 +63,7 @@
         self._output: list[bytes] = []
         self._events = events
         self._descriptor = sock.fileno()
-        forwarder.add_socket(self._descriptor, self, events)
+        loop.add_socket(self._descriptor, self, events)
 
     def handle_events(self, events: int) -> None:
         """Read from and write to the socket as its events allow."""
@@ -63,7 +80,7 @@
         self.unsent_bytes += len(data)
         if not self.dirty:
             self.dirty = True
-            self.forwarder.dirty_connections.append(self)
+            self._loop.dirty_connections.append(self)
 
     def flush(self) -> None:
         """Send buffered bytes until the socket accepts no more."""
@@ -116,7 +133,7 @@
         self.closed = True
         self._output.clear()
         self.unsent_bytes = 0
-        self.forwarder.remove_socket(self._descriptor)
+        self._loop.remove_socket(self._descriptor)
         self.sock.close()
 
     def on_data(self, data: bytes) -> None:
@@ -161,7 +178,7 @@
     def _set_events(self, events: int) -> None:
         if events != self._events and not self.closed:
             self._events = events
-            self.forwarder.change_events(self._descriptor, events)
+            self._loop.change_events(self._descriptor, events)
 
 
 def configure_socket(sock: socket.socket) -> None:
--- a/monsoontray/forwarding/guards.py
+++ b/monsoontray/forwarding/guards.py
@@ -57,7 +57,7 @@
         self._cold_start_at = forwarder.now + COLD_WINDOW_S
         self.update_interface(interface)
 
-    def __contains__(self, server: str) -> bool:
+    def __contains__(self, server: object) -> bool:
         return server in self._guards
 
     def find(self, server: str) -> GuardState | None:
--- a/monsoontray/forwarding/listener.py
+++ b/monsoontray/forwarding/listener.py
@@ -3,33 +3,39 @@
 from __future__ import annotations
 
 import socket
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
-from monsoontray.forwarding.connection import configure_socket
+from monsoontray.forwarding.connection import SocketLoop, configure_socket
 from monsoontray.kernel.sockets import READABLE
 
 if TYPE_CHECKING:
-    from monsoontray.forwarding.forwarder import Forwarder
     from monsoontray.settings.settings import Address
 
 BACKLOG = 1024  # connections that may wait to be accepted
 ACCEPT_BATCH = 64  # connections accepted per event, at most
 
 
+class CallerAcceptor(SocketLoop, Protocol):
+    """The task that owns a listening socket and the connections to it."""
+
+    def accept_caller(self, sock: socket.socket, side: Any) -> None:
+        """Add a new connection, or refuse it."""
+
+
 class Listener:
-    """A listening socket that passes its connections to the forwarder."""
+    """A listening socket that passes its connections to the task that owns it."""
 
-    __slots__ = ("_forwarder", "_side", "_sock")
+    __slots__ = ("_acceptor", "_side", "_sock")
 
-    def __init__(self, address: Address, side: Any, forwarder: Forwarder) -> None:
-        self._forwarder = forwarder
+    def __init__(self, address: Address, side: Any, acceptor: CallerAcceptor) -> None:
+        self._acceptor = acceptor
         self._side = side
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
         self._sock.bind((address.host, address.port))
         self._sock.listen(BACKLOG)
-        forwarder.add_socket(self._sock.fileno(), self, READABLE)
+        acceptor.add_socket(self._sock.fileno(), self, READABLE)
 
     def handle_events(self, events: int) -> None:
         """Accept the waiting connections."""
@@ -42,7 +48,7 @@
         and would reset them although their callers may have sent requests.
         """
         self._accept(BACKLOG)
-        self._forwarder.remove_socket(self._sock.fileno())
+        self._acceptor.remove_socket(self._sock.fileno())
         self._sock.close()
 
     def _accept(self, limit: int) -> None:
@@ -52,4 +58,4 @@
             except OSError:
                 return
             configure_socket(sock)
-            self._forwarder.accept_caller(sock, self._side)
+            self._acceptor.accept_caller(sock, self._side)
--- a/monsoontray/forwarding/sides.py
+++ b/monsoontray/forwarding/sides.py
@@ -4,7 +4,7 @@
 
 import math
 from functools import singledispatch
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from msgspec import Struct
 
@@ -39,13 +39,32 @@
 )
 
 if TYPE_CHECKING:
-    from monsoontray.forwarding.forwarder import Forwarder
+    from collections.abc import Container
+    from random import Random
+
+    from monsoontray.decisions.admission import Entitlements
+    from monsoontray.decisions.routing import RouteTable
+    from monsoontray.forwarding.limits import Limits
 
 MAX_TIMEOUT_MS = 3_600_000
 MAX_PRIORITY = 1_000_000
 _BEARER = b"Bearer "
 
 
+class RoutingContext(Protocol):
+    """What decides the route of a call, as the forwarding task knows it."""
+
+    now: float
+    random: Random
+    limits: Limits
+    entitlements: Entitlements
+    route_table: RouteTable | None
+
+    @property
+    def guards(self) -> Container[str]:
+        """Return the names of the local servers."""
+
+
 class PlanEntrySide(Struct, frozen=True):
     """Side for calls of partner routers, admitted by customers' plans."""
 
@@ -77,7 +96,7 @@
 
 @singledispatch
 def find_route(
-    side: Any, head: RequestHead, forwarder: Forwarder
+    side: Any, head: RequestHead, context: RoutingContext
 ) -> EntryRoute | GuardRoute | Refusal:
     """Return the route of a call that arrived on a side, or a refusal."""
     raise TypeError(f"unsupported side: {side!r}")
@@ -85,16 +104,16 @@
 
 @find_route.register(PlanEntrySide)
 def _(
-    side: PlanEntrySide, head: RequestHead, forwarder: Forwarder
+    side: PlanEntrySide, head: RequestHead, context: RoutingContext
 ) -> EntryRoute | GuardRoute | Refusal:
     path = normalize_target(head.target)
     if path is None:
         return refuse_not_run(Reason.BAD_REQUEST)
     token = _read_token(head)
-    admitted = admit_call(forwarder.entitlements, token, head.method, path)
+    admitted = admit_call(context.entitlements, token, head.method, path)
     if isinstance(admitted, Refusal):
         return admitted
-    timeout_s = _read_timeout(head, TIMEOUT_HEADER, forwarder.limits.call_timeout_s)
+    timeout_s = _read_timeout(head, TIMEOUT_HEADER, context.limits.call_timeout_s)
     return EntryRoute(
         service=admitted.service,
         resource=admitted.resource,
@@ -102,18 +121,18 @@
         name=admitted.plan,
         priority=admitted.priority,
         idempotent=is_idempotent_method(head.method),
-        max_attempts=forwarder.limits.max_attempts,
-        deadline=forwarder.now + timeout_s,
+        max_attempts=context.limits.max_attempts,
+        deadline=context.now + timeout_s,
     )
 
 
 @find_route.register(MeshEntrySide)
 def _(
-    side: MeshEntrySide, head: RequestHead, forwarder: Forwarder
+    side: MeshEntrySide, head: RequestHead, context: RoutingContext
 ) -> EntryRoute | GuardRoute | Refusal:
-    table = forwarder.route_table
+    table = context.route_table
     if table is None:
-        retry_s = compute_unready_retry(forwarder.random)
+        retry_s = compute_unready_retry(context.random)
         return Refusal(Reason.NO_VERSION, Ran.NOT_RUN, retry_s)
     if head.length > table.routes.limits.body_bytes:
         return refuse_not_run(Reason.BODY_TOO_LARGE)
@@ -134,24 +153,24 @@
         priority=route.priority,
         idempotent=route.idempotent,
         max_attempts=route.max_attempts,
-        deadline=forwarder.now + min(timeout_s, route.timeout_s),
-        objective=forwarder.now + route.objective_s,
+        deadline=context.now + min(timeout_s, route.timeout_s),
+        objective=context.now + route.objective_s,
     )
 
 
 @find_route.register(GuardSide)
 def _(
-    side: GuardSide, head: RequestHead, forwarder: Forwarder
+    side: GuardSide, head: RequestHead, context: RoutingContext
 ) -> EntryRoute | GuardRoute | Refusal:
     server = head.node_headers.get(SERVER_HEADER, b"").decode("latin-1")
-    if server not in forwarder.guards:
+    if server not in context.guards:
         return refuse_not_run(Reason.NO_SERVER)
     customer = head.node_headers.get(CUSTOMER_HEADER, b"").decode("latin-1")
     given = head.node_headers.get(PRIORITY_HEADER, b"")
     priority = decode_digits(given, MAX_PRIORITY)
     if priority is None:
         priority = LOWEST_PRIORITY
-    timeout_s = _read_timeout(head, TIMEOUT_HEADER, forwarder.limits.call_timeout_s)
+    timeout_s = _read_timeout(head, TIMEOUT_HEADER, context.limits.call_timeout_s)
     idempotent = head.node_headers.get(IDEMPOTENT_HEADER) == b"1"
     name = head.node_headers.get(ROUTE_HEADER, b"").decode(errors="replace")
     return GuardRoute(
@@ -159,9 +178,9 @@
         customer,
         priority,
         idempotent,
-        forwarder.now + timeout_s,
+        context.now + timeout_s,
         name,
-        forwarder.now + _read_timeout(head, OBJECTIVE_HEADER, math.inf),
+        context.now + _read_timeout(head, OBJECTIVE_HEADER, math.inf),
         may_wait=head.node_headers.get(NO_WAIT_HEADER) != b"1",
     )
 
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -66,6 +66,7 @@
         "address",
         "call",
         "connected",
+        "forwarder",
         "idle_deadline",
         "keep_alive_s",
         "must_close",
@@ -78,6 +79,7 @@
         address: Address,
         on_connected: Callable[[ConnectOutcome], object] | None = None,
     ) -> None:
+        self.forwarder = forwarder
         super().__init__(sock, forwarder, READABLE | WRITABLE)
         self.address = address
         #: Set on connections that are opened without a call.
