Apply the limit of bodies to bodies in chunks

A chunked body of any size was passed on though the configuration limits bodies. The new test failed before (1001 bytes, limit 1000).

--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -137,7 +137,7 @@
         """Handle a part of the request body."""
         was_known = bool(self.request.fingerprint.value)
         self.request.identify(part)
-        if not was_known and self._is_contained():
+        if self._is_too_large() or (not was_known and self._is_contained()):
             return
         self.request.send_body(part)
         self._start_if_recognized()
@@ -332,6 +332,17 @@
         else:
             self.refuse(self.build_refusal(Reason.DEADLINE_PASSED))
 
+    def _is_too_large(self) -> bool:
+        """Refuse the call if its body, which may be in chunks, exceeds the limit."""
+        route = self.route
+        size = self.request.fingerprint.body_bytes
+        if not isinstance(route, EntryRoute) or size <= route.max_body_bytes:
+            return False
+        if self.response_started:
+            return False
+        self.refuse(self.build_refusal(Reason.BODY_TOO_LARGE))
+        return True
+
     def _is_contained(self) -> bool:
         """Refuse the call if the request is contained, before its end is sent."""
         if self.response_started or not self.forwarder.containment.is_contained(self):
--- a/monsoontray/forwarding/routes.py
+++ b/monsoontray/forwarding/routes.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from monsoontray.decoding.values import MAX_INT64
 from monsoontray.settings.settings import Address
 
 SERVER_HEADER = b"monsoontray-server"
@@ -33,6 +34,7 @@
     max_attempts: int
     deadline: float
     objective: float = math.inf  # latest time of a response that meets the objective
+    max_body_bytes: int = MAX_INT64
 
 
 class GuardRoute(Struct, frozen=True):
--- a/monsoontray/forwarding/sides.py
+++ b/monsoontray/forwarding/sides.py
@@ -155,6 +155,7 @@
         max_attempts=route.max_attempts,
         deadline=context.now + min(timeout_s, route.timeout_s),
         objective=context.now + route.objective_s,
+        max_body_bytes=table.routes.limits.body_bytes,
     )
 
 
--- a/tests/test_forwarding/test_exchange_model.py
+++ b/tests/test_forwarding/test_exchange_model.py
@@ -16,7 +16,12 @@
 import msgspec
 import pytest
 
-from bench.mesh import HOST, build_configuration, build_route
+from bench.mesh import (
+    HOST,
+    build_chunked_request,
+    build_configuration,
+    build_route,
+)
 from monsoontray.decisions.routing import RouteTable
 from monsoontray.decisions.servers import (
     Endpoint,
@@ -70,15 +75,15 @@
 class Node:
     """Forwarding task with one local server, run step by step."""
 
-    def __init__(self):
+    def __init__(self, max_body_bytes=1 << 26):
         self.kernel = NodeKernel()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.listener.setblocking(False)
         self.forwarder = Forwarder(self.kernel)
         address = Address(*self.listener.getsockname())
-        table = RouteTable(
-            decode_routes(msgspec.json.encode(build_configuration(1, *ROUTES)))
-        )
+        configuration = build_configuration(1, *ROUTES)
+        configuration["limits"]["max_body_bytes"] = max_body_bytes
+        table = RouteTable(decode_routes(msgspec.json.encode(configuration)))
         record = ServerRecord("i-0", "one", "v1", (), 64, 130, ServerState.SERVING)
         endpoint = Endpoint("i-0", "one", "v1", 64, "node-0", "norte", "zone-a",
                             "127.0.0.1:9", frozenset())  # fmt: skip
@@ -453,3 +458,17 @@
         if any(fault in text for text in Sequence(node, seed).run()):
             return
     raise AssertionError("no fault was found")
+
+
+# A body in chunks has no length, so the limit of the configuration did not apply.
+@pytest.mark.parametrize(("size", "status"), [(1_000, b""), (1_001, b"413")])
+def test_chunked_body_beyond_the_limit_is_refused(size, status):
+    node = Node(max_body_bytes=1_000)
+    caller = Peer(node.connect())
+    request = build_chunked_request("/order/1", "o1", "POST", bytes(size))
+    caller.send(Message(request, b"o1", b""), len(request))
+    node.run()
+    caller.receive()
+    assert caller.received[9:12] == status
+    node.end_sequence()
+    node.listener.close()
