Bound the departures that are handed on, and renew those without an incarnation

Found on reading the change: departures of an earlier process were added beyond the number that the next one accepts, so a node that restarted often would have lost all; and a server that leaves twice without naming its incarnation kept the time of its first leaving, so a heartbeat between the two brought it back. Both tests are new; they were not run on the code before.

The state of a response is a type of its own now, as that of the request is; what it decides has not changed. 185 tests of forwarding, discovery and endless responses passed.

--- a/monsoontray/decisions/announcements.py
+++ b/monsoontray/decisions/announcements.py
@@ -123,14 +123,17 @@
         self._current = None
         return True
 
-    def acknowledge_departure(self, server: str, born: int, wall_time: float) -> bool:
-        """Record a leaving that is acknowledged; return whether it is a new one."""
-        if (server, born) in self._acknowledged:
+    def acknowledge_departure(
+        self, server: str, born: int, wall_time: float, has_left: bool = False
+    ) -> bool:
+        """Record a leaving that is acknowledged; return whether it is a new one.
+
+        A server that has left without naming its incarnation may be a later one.
+        """
+        is_known = (server, born) in self._acknowledged
+        if is_known and (born or not has_left):
             return False
-        departure = Departure(server, born, int(wall_time * _MS_PER_S))
-        self._acknowledged[(server, born)] = departure
-        while len(self._acknowledged) > MAX_DEPARTURES:
-            del self._acknowledged[next(iter(self._acknowledged))]
+        self._remember(Departure(server, born, int(wall_time * _MS_PER_S)))
         return True
 
     def get_departures(self) -> tuple[Departure, ...]:
@@ -144,7 +147,9 @@
         """
         is_current = False
         for each in departures:
-            self._acknowledged.setdefault((each.server, each.born), each)
+            known = self._acknowledged.get((each.server, each.born))
+            if known is None or known.left_ms < each.left_ms:
+                self._remember(each)
             if each.born:
                 is_current |= self.restore_departure(each.server, each.born)
                 continue
@@ -193,6 +198,13 @@
             cold_until=self.cold_until,
         )
 
+    def _remember(self, departure: Departure) -> None:
+        key = (departure.server, departure.born)
+        self._acknowledged.pop(key, None)
+        self._acknowledged[key] = departure
+        while len(self._acknowledged) > MAX_DEPARTURES:
+            del self._acknowledged[next(iter(self._acknowledged))]
+
     def _is_departed(self, announcement: Announcement, now: float) -> bool:
         """Return whether an announcement is of an incarnation that has left."""
         until, left_ms = self._departures.get(announcement.server, (0.0, 0.0))
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -174,7 +174,7 @@
             self._update_guard()
             self._publish()
             self._update_servers()
-        self._acknowledge(message.server, message.born, message.reply)
+        self._acknowledge(message.server, message.born, message.reply, has_left=True)
 
     def acknowledge_departures(self) -> None:
         """Acknowledge the leavings that the store has, or that have waited for it."""
@@ -209,18 +209,24 @@
         read_by_all = self._settings.get_int("read_by_all")
         return choose_store_access(self._location, listed, read_by_all, self._random)
 
-    def _acknowledge(self, server: str, born: int, reply: Reply) -> None:
+    def _acknowledge(
+        self, server: str, born: int, reply: Reply, has_left: bool = False
+    ) -> None:
         """Acknowledge a leaving once the store has it, so that it binds this node."""
-        if self._remember_departure(server, born):
+        if self._remember_departure(server, born, has_left):
             deadline = self.clock.now() + MAX_ACKNOWLEDGEMENT_DELAY_S
             self._unacknowledged.append((deadline, reply))
         else:
             reply.put(AnnouncementEffect.REPEATED)
 
-    def _remember_departure(self, server: str, born: int) -> bool:
+    def _remember_departure(
+        self, server: str, born: int, has_left: bool = False
+    ) -> bool:
         """Write a leaving to the store; return whether it is a new one."""
-        wall_time = self.clock.wall_time()
-        if not self._local_server.acknowledge_departure(server, born, wall_time):
+        is_new = self._local_server.acknowledge_departure(
+            server, born, self.clock.wall_time(), has_left
+        )
+        if not is_new:
             return False
         value = encode_departures(self._local_server.get_departures())
         self.kernel.post("publisher", PublishDepartures(value))
--- a/monsoontray/forwarding/exchange.py
+++ b/monsoontray/forwarding/exchange.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from monsoontray.forwarding.heads import Framing
+from monsoontray.forwarding.heads import Framing, ResponseHead
+
+#: Most bytes that are received for a call before the head of its response:
+#: informational responses, and late responses to earlier calls.
+MAX_SKIPPED_BYTES = 262_144
 
 
 class SentRequest:
@@ -30,3 +34,43 @@
     def write_end(self) -> None:
         """Record that the last chunk was written."""
         self.is_written = True
+
+
+class ReceivedResponse:
+    """Response to a call, as far as it was received on the connection."""
+
+    __slots__ = (
+        "_is_until_close",
+        "_skipped_bytes",
+        "awaits_head",
+        "is_foreign",
+        "keeps_alive",
+    )
+
+    def __init__(self) -> None:
+        self.awaits_head = True  # the head of the call's response is still to come
+        self.is_foreign = False  # what is received now belongs to another call
+        self.keeps_alive = True  # the connection stays open behind the response
+        self._is_until_close = False  # the end of the connection ends the response
+        self._skipped_bytes = 0  # received while the head was awaited
+
+    def receive_head(self, head: ResponseHead, is_own: bool) -> None:
+        """Record the head of the call's response, or of one to an earlier call."""
+        self.keeps_alive = head.keep_alive
+        self._is_until_close = head.framing is Framing.UNTIL_CLOSE
+        self.is_foreign = self.awaits_head = not is_own
+
+    def end_foreign(self) -> bool:
+        """Record the end of a response; return whether it was to another call."""
+        was_foreign, self.is_foreign = self.is_foreign, False
+        return was_foreign
+
+    def skip(self, size: int) -> bool:
+        """Record bytes before the head; return whether they are too many."""
+        if self.awaits_head:
+            self._skipped_bytes += size
+        return self._skipped_bytes > MAX_SKIPPED_BYTES
+
+    def is_whole_at_end(self, is_reset: bool) -> bool:
+        """Return whether the end of the connection completes the response."""
+        return self._is_until_close and not self.is_foreign and not is_reset
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -11,11 +11,11 @@
 
 from monsoontray.decisions.outcomes import Reason
 from monsoontray.forwarding.connection import Connection, configure_socket
+from monsoontray.forwarding.exchange import ReceivedResponse
 from monsoontray.forwarding.heads import (
     END_OF_MESSAGE,
     ContinueReceived,
     EndOfMessage,
-    Framing,
     ResponseHead,
 )
 from monsoontray.forwarding.parsing import Malformed, ResponseParser
@@ -33,9 +33,6 @@
     from monsoontray.settings.settings import Address
 
 IDLE_TIMEOUT_FRACTION = 0.5  # of the idle timeout of the other side
-#: Most bytes that are received for a call before the head of its response:
-#: informational responses, and late responses to earlier calls.
-MAX_SKIPPED_BYTES = 262_144
 
 
 class ConnectOutcome(enum.Enum):
@@ -55,14 +52,10 @@
     """A connection to a guard or a backend server; carries one call at a time."""
 
     __slots__ = (
-        "_awaits_head",
         "_connect_timer",
-        "_keep_alive",
         "_on_connected",
         "_parser",
-        "_skipped_bytes",
-        "_skips_response",
-        "_until_close",
+        "_response",
         "address",
         "call",
         "connected",
@@ -89,11 +82,7 @@
         self.idle_deadline = 0.0
         self.must_close = False  # no further request may be sent on this connection
         self.keep_alive_s = 0.0  # idle timeout that the other side announced; 0 if none
-        self._keep_alive = True
-        self._skips_response = False  # the current response belongs to another call
-        self._awaits_head = False  # the head of the call's response is still to come
-        self._skipped_bytes = 0  # received while the head was awaited
-        self._until_close = False  # the end of the connection ends the response
+        self._response = ReceivedResponse()
         extra_headers = forwarder.http_profile.get_response_headers()
         self._parser = ResponseParser(forwarder.limits.head, extra_headers)
         deadline = forwarder.now + forwarder.limits.connect_timeout_s
@@ -110,9 +99,7 @@
     def begin_call(self, call: Call, method: str) -> None:
         """Prepare for the request and the response of a call."""
         self.call = call
-        self._keep_alive = True
-        self._awaits_head = True
-        self._skipped_bytes = 0
+        self._response = ReceivedResponse()
         self._parser.expect_response(method)
 
     def on_data(self, data: bytes) -> None:
@@ -132,15 +119,13 @@
                 self.close()
                 return
             _HANDLERS[event.__class__](event, self)
-        if self._awaits_head:
-            self._skipped_bytes += len(data)
-            if self._skipped_bytes > MAX_SKIPPED_BYTES:
-                self._fail(Reason.BAD_RESPONSE)
+        if self._response.skip(len(data)):
+            self._fail(Reason.BAD_RESPONSE)
 
     def on_eof(self) -> None:
         """Complete a response that ends with the connection, or fail the call."""
-        is_whole = self._until_close and not self.is_reset
-        if is_whole and not self._skips_response and self.call is not None:
+        is_whole = self._response.is_whole_at_end(self.is_reset)
+        if is_whole and self.call is not None:
             self.finish_response()
         else:
             self.on_connection_lost()
@@ -164,8 +149,7 @@
 
     def finish_response(self) -> None:
         """Report the end of the response; keep the connection if it is reusable."""
-        if self._skips_response:
-            self._skips_response = False
+        if self._response.end_foreign():
             return
         call = self.call
         assert call is not None
@@ -183,25 +167,25 @@
         The other side reads what is sent next as the rest of an incomplete request.
         """
         is_sent = call.request.sent.is_written and not self.unsent_bytes
-        is_usable = self._keep_alive and not self.must_close and not self.is_reset
+        is_usable = (
+            self._response.keeps_alive and not self.must_close and not self.is_reset
+        )
         return is_sent and is_usable
 
     def on_head(self, head: ResponseHead) -> None:
         """Pass the head of a response to the call."""
-        self._keep_alive = head.keep_alive
-        self._until_close = head.framing is Framing.UNTIL_CLOSE
         if head.keep_alive_s:
             self.keep_alive_s = head.keep_alive_s
         assert self.call is not None
         # A late response to an earlier call precedes the expected response.
-        self._skips_response = not handle_response_head(self.call, head)
-        self._awaits_head = self._skips_response
-        if self._skips_response:
+        response = self._response
+        response.receive_head(head, handle_response_head(self.call, head))
+        if response.is_foreign:
             self.must_close = True
 
     def on_body(self, part: bytes) -> None:
         """Pass a part of a response's body to the call."""
-        if not self._skips_response:
+        if not self._response.is_foreign:
             assert self.call is not None
             handle_response_body(self.call, part)
 
--- a/tests/test_decisions/test_announcements.py
+++ b/tests/test_decisions/test_announcements.py
@@ -4,8 +4,10 @@
 
 from monsoontray.decisions.announcements import (
     DEPARTURE_RETENTION_S,
+    MAX_DEPARTURES,
     Announcement,
     AnnouncementEffect,
+    Departure,
     LocalServerTracker,
 )
 from monsoontray.decisions.servers import ServerState
@@ -91,3 +93,24 @@
         is AnnouncementEffect.CHANGED
     )
     assert tracker.build_record().born == 2001
+
+
+def test_departures_that_are_handed_on_are_bounded_also_over_restarts():
+    earlier, later = LocalServerTracker(), LocalServerTracker()
+    for i in range(MAX_DEPARTURES):
+        assert earlier.acknowledge_departure(f"i-{i}", 1, 5.0)
+        assert not earlier.acknowledge_departure(f"i-{i}", 1, 6.0)
+        later.acknowledge_departure(f"j-{i}", 1, 7.0)
+    later.restore(earlier.get_departures(), 0.0)
+    assert len(later.get_departures()) == MAX_DEPARTURES
+
+
+# The second leaving of a server that names no incarnation kept the time of the first.
+def test_later_leaving_without_an_incarnation_replaces_an_earlier_one():
+    tracker = LocalServerTracker()
+    assert tracker.acknowledge_departure("i-1", 0, 5.0, has_left=True)
+    assert not tracker.acknowledge_departure("i-1", 0, 6.0)
+    assert tracker.acknowledge_departure("i-1", 0, 7.0, has_left=True)
+    assert tracker.get_departures() == (Departure("i-1", 0, 7_000),)
+    tracker.restore((Departure("i-1", 0, 6_000),), 0.0)
+    assert tracker.get_departures() == (Departure("i-1", 0, 7_000),)
--- a/tests/test_forwarding/test_exchange_model.py
+++ b/tests/test_forwarding/test_exchange_model.py
@@ -433,11 +433,13 @@
 
 
 def count_received(self, call):
-    return call.request.is_received and self._keep_alive and not self.must_close
+    return (
+        call.request.is_received and self._response.keeps_alive and not self.must_close
+    )
 
 
 def end_orderly(self):
-    if self._until_close and not self._skips_response and self.call is not None:
+    if self._response.is_whole_at_end(False) and self.call is not None:
         self.finish_response()
     else:
         self.on_connection_lost()
