Write departures without a lease

The record of departures had a lease, which lapsed with the others while the store was disturbed, or whose grant was lost.

--- a/monsoontray/discovery/publisher.py
+++ b/monsoontray/discovery/publisher.py
@@ -27,15 +27,13 @@
 RENEWALS_PER_LIFETIME = 3
 INITIAL_RETRY_DELAY_S = 0.1  # doubled after each further failed call
 MAX_RETRY_DELAY_S = 0.8
-#: Time for which the store keeps which servers have left. It exceeds the time for which
-#: a server goes on serving then, and the time by which its heartbeats may be late.
-DEPARTURES_LIFETIME_S = 120.0
 
 
 class Publisher(Task):
-    """Task that owns this node's records, their leases and a client of the store.
+    """Task that owns this node's records, a lease and a client of the store.
 
-    The record of departures outlives the process: it binds the next one.
+    The record of departures binds the next process, so it has no lease: one may lapse
+    while the store is disturbed. It is bounded, and replaced by later departures.
     """
 
     def __init__(self, kernel: Kernel) -> None:
@@ -51,7 +49,6 @@
         self._value = b""
         self._is_written = False
         self._departures_key = DEPARTURES_KEY_PREFIX + node
-        self._departures_lease: Lease | None = None
         self._unwritten_departures: bytes | None = None
         self._next_attempt_at = self.clock.now()
 
@@ -61,11 +58,13 @@
 
     def on_deadline(self) -> None:
         """Obtain or renew the lease and write the records that are not written."""
-        has_lease = self._ensure_lease()
-        are_written = self._unwritten_departures is None and (
-            not self._value or self._is_written
+        # Departures do not wait for a lease.
+        are_departures_written = (
+            self._unwritten_departures is None or self._write_departures()
         )
-        if has_lease and (are_written or self._write()):
+        has_lease = self._ensure_lease()
+        is_written = not self._value or self._is_written
+        if are_departures_written and has_lease and (is_written or self._write()):
             self._failures = 0
             self._next_attempt_at = (
                 self.clock.now() + self._lifetime_s / RENEWALS_PER_LIFETIME
@@ -101,7 +100,7 @@
     def close(self) -> None:
         """Write what is left, revoke the lease of the node and close the client."""
         if self._unwritten_departures is not None:
-            self._write()
+            self._write_departures()
         self.withdraw()
         self._client.close()
 
@@ -129,36 +128,26 @@
         return False
 
     def _write(self) -> bool:
-        """Write the records; return whether the store confirmed them."""
-        puts = []
-        if self._lease is not None and self._value and not self._is_written:
-            puts.append(Put(self._key, self._value, self._lease.lease_id))
-        departures = self._unwritten_departures
-        if departures is not None:
-            lease = self._ensure_departures_lease()
-            if lease is None:
-                return False
-            puts.append(Put(self._departures_key, departures, lease.lease_id))
-        outcome = self._client.commit({}, tuple(puts))
+        """Write the node's record; return whether the store confirmed it."""
+        assert self._lease is not None
+        put = Put(self._key, self._value, self._lease.lease_id)
+        outcome = self._client.commit({}, (put,))
         if outcome == NotDone(Cause.LEASE_EXPIRED):
-            self._lease = self._departures_lease = None
+            self._lease = None
+        self._is_written = isinstance(outcome, Done)
+        return self._is_written
+
+    def _write_departures(self) -> bool:
+        """Write the record of departures; return whether the store confirmed it."""
+        value = self._unwritten_departures
+        assert value is not None
+        outcome = self._client.commit({}, (Put(self._departures_key, value),))
         if not isinstance(outcome, Done):
             return False
-        self._is_written = bool(self._value)
-        if departures is not None:
-            self._unwritten_departures = None
-            self.kernel.post("membership", DeparturesWritten(departures))
+        self._unwritten_departures = None
+        self.kernel.post("membership", DeparturesWritten(value))
         return True
 
-    def _ensure_departures_lease(self) -> Lease | None:
-        """Return a lease of which half is left at least, or None."""
-        lease = self._departures_lease
-        min_left_s = DEPARTURES_LIFETIME_S / 2
-        if lease is None or lease.deadline - self.clock.now() < min_left_s:
-            outcome = self._client.grant_lease(DEPARTURES_LIFETIME_S)
-            self._departures_lease = outcome if isinstance(outcome, Lease) else None
-        return self._departures_lease
-
 
 @singledispatch
 def handle_message(message: Any, publisher: Publisher) -> None:
