--- a/tests/test_forwarding/test_upstream.py
+++ b/tests/test_forwarding/test_upstream.py
@@ -69,7 +69,8 @@
 
 
 @pytest.fixture
-def connection(forwarder, monkeypatch):
+def exchange(forwarder, monkeypatch):
+    """Return a connection, its call, and the server's side of its socket."""
     monkeypatch.setattr(upstream_module, "handle_response_head", lambda *_: True)
     monkeypatch.setattr(
         upstream_module,
@@ -105,8 +106,8 @@
 
 # A reset that the sending of a request reported was forgotten: the end of file that
 # followed made half of a response look like the whole.
-def test_response_without_length_is_not_whole_if_sending_reported_a_reset(connection):
-    connection, call, server = connection
+def test_response_without_length_is_not_whole_if_sending_reported_a_reset(exchange):
+    connection, call, server = exchange
     send_and_read(connection, server, UNTIL_CLOSE)
     reset(server)
     connection.write(b"rest of the request")
@@ -117,8 +118,8 @@
     assert call.lost is Reason.CONNECTION_LOST
 
 
-def test_response_without_length_is_not_whole_if_reading_reports_a_reset(connection):
-    connection, call, server = connection
+def test_response_without_length_is_not_whole_if_reading_reports_a_reset(exchange):
+    connection, call, server = exchange
     send_and_read(connection, server, UNTIL_CLOSE)
     reset(server)
     connection.handle_events(READABLE)
@@ -126,8 +127,8 @@
     assert call.lost is Reason.CONNECTION_LOST
 
 
-def test_response_without_length_is_whole_after_an_orderly_end(connection):
-    connection, call, server = connection
+def test_response_without_length_is_whole_after_an_orderly_end(exchange):
+    connection, call, server = exchange
     send_and_read(connection, server, UNTIL_CLOSE)
     server.close()
     connection.handle_events(READABLE)
@@ -137,9 +138,9 @@
 
 
 def test_response_with_a_length_is_whole_though_sending_reported_a_reset(
-    connection, forwarder
+    exchange, forwarder
 ):
-    connection, call, server = connection
+    connection, call, server = exchange
     server.sendall(SIZED)
     reset(server)
     connection.write(b"rest of the request")
@@ -150,10 +151,8 @@
 
 
 @pytest.mark.parametrize("obstacle", [None, "request", "output"])
-def test_connection_is_kept_only_if_the_request_was_sent(
-    connection, forwarder, obstacle
-):
-    connection, call, server = connection
+def test_connection_is_kept_only_if_the_request_was_sent(exchange, forwarder, obstacle):
+    connection, call, server = exchange
     if obstacle == "request":
         call.request.sent.is_written = False
     elif obstacle == "output":
