Count a request to a cold server from when it is sent

Callers: a cold server may get more requests in a second than it tolerates, and ends.

Cause: the guard counted a request when it granted the slot. A request that holds its slot while its body is awaited, while its connection opens, or while the process is held up, arrives later, beside as many others as the limit allows. The time was that of the event, which is past if the process was held up since.

Change: a call with a slot counts until it is sent, and then from the time that the clock shows at that moment.

The tests of cold servers record sends now, their checks and bounds are the same.

--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -100,6 +100,7 @@
         "_queue",
         "_sequence",
         "_start_times",
+        "_unsent",
         "busy_refusals",
         "closed_reason",
         "confirmed",
@@ -144,7 +145,8 @@
         self.last_probe_at = -math.inf
         self.suspicion = VersionSuspicion()
         self._cold = cold or ColdLimits()
-        self._start_times: deque[float] = deque()
+        self._start_times: deque[float] = deque()  # when requests were sent
+        self._unsent: set[Any] = set()  # calls that hold a slot and were not sent yet
         #: Until then an earlier process of this node may have used up a cold server's
         #: limit, so the server gets no call.
         self._cold_start_at = cold_start_at
@@ -215,7 +217,7 @@
             bool(self.waiting) or not self._is_within_pace(now)
         )
         if self.in_use < self.get_capacity() and not must_queue:
-            self._start(now)
+            self._start(call, now)
             return Granted()
         if not request.may_wait and self.pace is not None:
             load = self.report_load(now, request.route)
@@ -244,6 +246,17 @@
         heappush(self._queue, (rank, request.deadline, next(self._sequence), waiting))
         return Queued()
 
+    def record_sent(self, call: Any, now: float) -> None:
+        """Record that the request of a call that holds a slot is sent."""
+        self._unsent.discard(call)
+        if self.record.cold_per_s:
+            self._start_times.append(now)
+            self._drop_old_start_times(now)
+
+    def record_unsent(self, call: Any) -> None:
+        """Record that a call gives up its slot, perhaps without having been sent."""
+        self._unsent.discard(call)
+
     def release_slot(self, now: float) -> Any | None:
         """Release a slot; return the queued call that gets it, if any."""
         self.in_use -= 1
@@ -257,7 +270,7 @@
             return None
         call = self._pop_waiting(now)
         if call is not None:
-            self._start(now)
+            self._start(call, now)
         return call
 
     def pop_overdue(self, now: float) -> Any | None:
@@ -323,13 +336,11 @@
         wait_s = max(self.pace.compute_wait(now), MIN_RECHECK_INTERVAL_S)
         return min(wait_s, RECHECK_INTERVAL_S)
 
-    def _start(self, now: float) -> None:
+    def _start(self, call: Any, now: float) -> None:
         self.in_use += 1
+        self._unsent.add(call)
         if self.pace is not None:
             self.pace.count_start(now)
-        if self.record.cold_per_s:
-            self._start_times.append(now)
-            self._drop_old_start_times(now)
 
     def _should_divert(self, idempotent: bool, now: float) -> bool:
         """Return whether to refuse a call because the server is failing.
@@ -360,7 +371,8 @@
         limit = max_starts * (
             FIRST_COLD_LIMIT_SHARE if is_first_window else COLD_LIMIT_SHARE
         )
-        return len(self._start_times) + 1 <= limit
+        # An unsent request may arrive at any time, however long ago it got its slot.
+        return len(self._start_times) + len(self._unsent) + 1 <= limit
 
     def _compute_cold_wait(self, now: float) -> float:
         """Return the seconds until a cold server accepts the next call."""
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -266,7 +266,7 @@
         guard = self.guard
         if guard is not None:
             self.guard = None
-            self.forwarder.guards.release_slot(guard)
+            self.forwarder.guards.release_slot(guard, self)
 
     def stop_attempt_timer(self) -> None:
         """Cancel the timeout of the current attempt; only the deadline remains."""
--- a/monsoontray/forwarding/guards.py
+++ b/monsoontray/forwarding/guards.py
@@ -148,8 +148,17 @@
         for guard in self._guards.values():
             guard.confirmed = False
 
-    def release_slot(self, guard: GuardState) -> None:
-        """Release a slot, and grant it to the next waiting call."""
+    def record_sent(self, call: Call) -> None:
+        """Record that the request of a call is sent to the server whose slot it holds.
+
+        The time of the event may be long past if the process was held up.
+        """
+        if call.guard is not None:
+            call.guard.record_sent(call, self._forwarder.clock.now())
+
+    def release_slot(self, guard: GuardState, call: Call) -> None:
+        """Release the slot of a call, and grant it to the next waiting call."""
+        guard.record_unsent(call)
         self._refuse_overdue(guard)
         waiting = guard.release_slot(self._forwarder.now)
         if waiting is not None:
--- a/monsoontray/forwarding/sending.py
+++ b/monsoontray/forwarding/sending.py
@@ -223,6 +223,9 @@
         forwarder, head = self._forwarder, self._head
         assert self.upstream is not None
         self.may_run = not self._awaits_continue
+        if not hop.is_guard:
+            assert self.upstream.call is not None
+            forwarder.guards.record_sent(self.upstream.call)
         remaining_ms = max(1, int((self._route.deadline - forwarder.now) * 1000))
         http_profile = forwarder.http_profile
         timeout = TIMEOUT_HEADER if hop.is_guard else http_profile.timeout_ms
--- a/tests/test_decisions/test_guard.py
+++ b/tests/test_decisions/test_guard.py
@@ -133,13 +133,21 @@
         assert len(guard.waiting) == len(waiting) <= 3
 
 
+def send(guard, call, now):
+    """Send a call if it gets a slot; return whether it did."""
+    is_granted = guard.request_slot(call, SlotRequest(99.0, 0), now) == Granted()
+    if is_granted:
+        guard.record_sent(call, now)
+    return is_granted
+
+
 def test_cold_server_stays_within_its_limit_in_any_second():
     record = replace(RECORD, slots=100, cold_until=50.0, cold_per_s=20.0)
     guard = GuardState(record, 9, ColdLimits(1.5, 5.0))
     times = []
     for i in range(400):
         now = i * 0.01
-        if guard.request_slot(i, SlotRequest(99.0, 0), now) == Granted():
+        if send(guard, i, now):
             times.append(now)
             guard.release_slot(now)
     for start in times:
@@ -154,17 +162,17 @@
     cold = ColdLimits(1.5, 5.0)
     starts = []
 
-    def send(guard, begin, end):
+    def send_between(guard, begin, end):
         for i in range(int(begin * 200), int(end * 200)):
             now = i / 200
-            if guard.request_slot(i, SlotRequest(99.0, 0), now) == Granted():
+            if send(guard, i, now):
                 starts.append(now)
                 guard.release_slot(now)
 
-    send(GuardState(record, 9, cold), 2.0, 3.0 + killed_after_s)
+    send_between(GuardState(record, 9, cold), 2.0, 3.0 + killed_after_s)
     started_at = 3.0 + killed_after_s + 0.2
     restarted = GuardState(record, 9, cold, started_at + COLD_WINDOW_S)
-    send(restarted, started_at + 0.2, started_at + 5.0)
+    send_between(restarted, started_at + 0.2, started_at + 5.0)
     for begin in starts:
         in_a_second = [each for each in starts if begin <= each < begin + 1.0]
         assert len(in_a_second) <= 21.0 * 1.5 + 5.0
@@ -172,10 +180,44 @@
     assert (refusal.reason, refusal.retry_after_s) == (Reason.SERVER_COLD, 1.0)
 
 
+# Requests that were sent long after they got their slots reached a cold server beside
+# as many others as it takes.
+def test_cold_server_stays_within_its_limit_when_requests_are_sent_late():
+    record = replace(RECORD, slots=12, cold_until=50.0, cold_per_s=20.0)
+    guard = GuardState(record, 9, ColdLimits(1.5, 5.0))
+    late = [f"upload-{i}" for i in range(6)]
+    for call in late:
+        assert guard.request_slot(call, SlotRequest(99.0, 0), 0.0) == Granted()
+    sent = []
+    for i in range(400):
+        now = i * 0.01
+        if late and now > 1.5 and len(sent) % 5 == 0:
+            guard.record_sent(late.pop(), now)
+            sent.append(now)
+            guard.release_slot(now)
+        if send(guard, i, now):
+            sent.append(now)
+            guard.release_slot(now)
+    assert not late
+    for start in sent:
+        assert sum(start <= time < start + 1.0 for time in sent) <= 35
+    assert len(sent) > 60
+
+
+def test_call_that_gives_up_its_slot_unsent_does_not_count_for_a_cold_server():
+    record = replace(RECORD, slots=12, cold_until=50.0, cold_per_s=1.0)
+    guard = GuardState(record, 9, ColdLimits(1.0, 1.0))
+    assert guard.request_slot("a", SlotRequest(99.0, 0), 0.0) == Granted()
+    assert not send(guard, "b", 2.0)
+    guard.record_unsent("a")
+    guard.release_slot(2.0)
+    assert send(guard, "b", 2.0)
+
+
 def test_unconfirmed_server_is_treated_as_cold():
     record = replace(RECORD, slots=100, cold_per_s=1.0)
     guard = GuardState(record, 9, ColdLimits(1.0, 0.5))
-    assert guard.request_slot("a", SlotRequest(99.0, 0), 1.0) == Granted()
+    assert send(guard, "a", 1.0)
     guard.confirmed = False
     refusal = guard.request_slot("b", SlotRequest(99.0, 0), 1.0)
     assert (refusal.reason, refusal.ran) == (Reason.SERVER_COLD, Ran.NOT_RUN)
@@ -222,8 +264,8 @@
 def test_cold_refusal_states_when_the_next_call_is_accepted():
     cold = replace(RECORD, slots=9, cold_until=100.0, cold_per_s=2.0)
     guard = GuardState(cold, 9, ColdLimits(1.0, 1.0))
-    assert guard.request_slot("a", SlotRequest(9.0, 0), now=1.0) == Granted()
-    assert guard.request_slot("b", SlotRequest(9.0, 0), now=1.5) == Granted()
+    assert send(guard, "a", now=1.0)
+    assert send(guard, "b", now=1.5)
     refused = guard.request_slot("c", SlotRequest(9.0, 0), now=1.6)
     assert refused.reason is Reason.SERVER_COLD
     assert refused.retry_after_s == pytest.approx(1.0 + COLD_WINDOW_S - 1.6)
--- a/tests/test_forwarding/test_call_model.py
+++ b/tests/test_forwarding/test_call_model.py
@@ -205,7 +205,12 @@
 
     record_unfinished = schedule_recheck = lambda self, *args: None
 
-    def release_slot(self, guard):
+    def record_sent(self, call):
+        if call.guard is not None:
+            call.guard.record_sent(call, self.now)
+
+    def release_slot(self, guard, call):
+        guard.record_unsent(call)
         waiting = guard.release_slot(self.now)
         if waiting is not None:
             send_to_local_server(waiting, guard)
@@ -446,7 +451,7 @@
 def leak_load_on_release(self):
     guard, self.guard, self.server = self.guard, None, ""
     if guard is not None:
-        self.forwarder.guards.release_slot(guard)
+        self.forwarder.guards.release_slot(guard, self)
 
 
 def leave_timers_running(self):
--- a/tests/test_forwarding/test_guards.py
+++ b/tests/test_forwarding/test_guards.py
@@ -7,11 +7,18 @@
 import pytest
 from msgspec.structs import replace
 
-from monsoontray.decisions.guard import GuardState, Queued, SlotRequest
+from monsoontray.decisions.guard import (
+    ColdLimits,
+    Granted,
+    GuardState,
+    Queued,
+    SlotRequest,
+)
 from monsoontray.decisions.outcomes import Ran, Reason
 from monsoontray.decisions.servers import ServerRecord, ServerState
 from monsoontray.forwarding.guards import LocalGuards, _fail_waiting
 from monsoontray.forwarding.messages import LocalServer, UpdateLocalServers
+from monsoontray.kernel.clock import ManualClock
 
 RECORD = ServerRecord("i-1", "one", "v1", (), 1, 130, ServerState.SERVING)
 
@@ -58,7 +65,7 @@
     bounds = SimpleNamespace(cold_factor=1.0, cold_slack=0.0)
     forwarder = SimpleNamespace(now=2.0)
     guards = LocalGuards(forwarder, SimpleNamespace(bounds=bounds))
-    guards.release_slot(guard)
+    guards.release_slot(guard, "running")
     assert [len(call.refusals) for call in calls] == [1, 0]
     (refusal,) = calls[0].refusals
     assert (refusal.reason, refusal.ran) == (Reason.NO_SLOT, Ran.NOT_RUN)
@@ -120,3 +127,20 @@
     guard.update_record(LEAVING, 0.5)
     assert guard.release_slot(0.5) is None
     assert guard.in_use == 0
+
+
+# A node that was held up between two events counted requests to a cold server when the
+# first event came, and sent them later, beside as many others.
+def test_request_is_counted_when_it_is_sent_not_when_its_event_came():
+    forwarder = SimpleNamespace(now=1.0, clock=ManualClock(1.25))
+    bounds = SimpleNamespace(cold_factor=1.0, cold_slack=0.0)
+    guards = LocalGuards(forwarder, SimpleNamespace(bounds=bounds))
+    cold = replace(RECORD, slots=9, cold_until=9.0, cold_per_s=2.0)
+    guard = GuardState(cold, 9, ColdLimits(1.0, 1.0))
+    for name in "ab":
+        call = FakeCall(guard)
+        assert guard.request_slot(name, SlotRequest(9.0, 0), 1.0) == Granted()
+        guards.record_sent(call)
+        guard.record_unsent(name)
+    assert guard.request_slot("c", SlotRequest(9.0, 0), 2.2) != Granted()
+    assert guard.request_slot("c", SlotRequest(9.0, 0), 2.31) == Granted()
--- a/tests/test_forwarding/test_sending.py
+++ b/tests/test_forwarding/test_sending.py
@@ -20,12 +20,14 @@
     """Connection to another node that records what is written."""
 
     def __init__(self):
+        self.call = None
+        self.sent_calls = []  # as the guard of a local server counts them
         self.connected = True
         self.unsent_bytes = 0
         self.written = b""
 
     def begin_call(self, call, method):
-        pass
+        self.call = call
 
     def write(self, data):
         self.written += data
@@ -40,6 +42,7 @@
     forwarder = SimpleNamespace(
         now=0.0,
         pool=SimpleNamespace(acquire=lambda address: upstream),
+        guards=SimpleNamespace(record_sent=upstream.sent_calls.append),
         http_profile=OWN_PROFILE,
         limits=SimpleNamespace(replay_buffer_bytes=1_000, stream_buffer_bytes=1_000),
     )
@@ -47,7 +50,7 @@
     head = RequestHead("POST", b"/x", [], {}, "h", b"", framing, length, True, False)
     route = EntryRoute("one", "", "", "route", 1, False, 2, DEADLINE)
     sender = RequestSender(forwarder, transaction, head, route, b"", b"one")
-    sender.start(None, hop)
+    sender.start("call", hop)
     return sender
 
 
@@ -62,6 +65,7 @@
     assert upstream.written.endswith(b"\r\n\r\n")
     assert b"order" not in upstream.written
     assert not sender.may_run
+    assert upstream.sent_calls == []
     sender.handle_continue()
     assert b"order" in upstream.written
     assert sender.may_run
@@ -104,3 +108,4 @@
         assert not sender.sent.is_written
     sender.send_end()
     assert sender.sent.is_written
+    assert upstream.sent_calls == ["call"]
