Let other nodes keep departures that the store does not take

Cause: knowledge that outlives a process had one way, the store. Class: the same as that of ended servers that were shared through the store only.

Change: the node tells three others, chosen by rank so that each of its processes finds the same, again each second until the store has the departure. A new process asks six and uses its server when all have answered or failed. If no other node is listed, because all leases have lapsed, it waits for up to 1 s, and asks nodes that are listed within 5 s. Departures have a module of their own (discovery/departures.py), the exchange a task.

In test_service.py nothing is published before the recovery ends, so tests list the store and let the time for it pass; one checked that nothing is due after an acknowledgement without the store, and checks now that keepers are told until the store has it, and nothing after.

--- a/monsoontray/discovery/encoding.py
+++ b/monsoontray/discovery/encoding.py
@@ -14,7 +14,7 @@
 from monsoontray.decisions.directory import ListedNode
 from monsoontray.decoding.documents import decode_json, decode_msgpack, decompress
 from monsoontray.decoding.errors import DecodingError
-from monsoontray.decoding.values import Revision
+from monsoontray.decoding.values import Name, Revision
 from monsoontray.store.outcomes import Record
 
 NODE_KEY_PREFIX = "nodes/"
@@ -58,6 +58,13 @@
 ]
 
 
+class DepartureOffer(msgspec.Struct, frozen=True, array_like=True):
+    """Departures that a node acknowledged; the field order is the format."""
+
+    node: Name
+    departures: DepartureList = ()
+
+
 def encode_response(response: MirrorResponse) -> bytes:
     """Return a response as compressed MessagePack."""
     return zlib.compress(msgspec.msgpack.encode(response), _COMPRESSION_LEVEL)
@@ -86,3 +93,14 @@
     """Return the departures that a record describes; raise DecodingError."""
     departures: tuple[Departure, ...] = decode_json(record.value, DepartureList)
     return departures
+
+
+def encode_departure_offer(offer: DepartureOffer) -> bytes:
+    """Return an offer of departures as MessagePack."""
+    return msgspec.msgpack.encode(offer)
+
+
+def decode_departure_offer(data: bytes) -> DepartureOffer:
+    """Return the offer of departures; raise DecodingError."""
+    offer: DepartureOffer = decode_msgpack(data, DepartureOffer)
+    return offer
--- a/monsoontray/discovery/messages.py
+++ b/monsoontray/discovery/messages.py
@@ -4,7 +4,8 @@
 
 from msgspec import Struct
 
-from monsoontray.decisions.announcements import Announcement
+from monsoontray.decisions.announcements import Announcement, Departure
+from monsoontray.decisions.directory import ListedNode
 from monsoontray.kernel.mailbox import Reply
 from monsoontray.store.outcomes import Record
 
@@ -57,6 +58,33 @@
     value: bytes
 
 
+class KeepDepartures(Struct, frozen=True):
+    """Let other nodes keep this node's departures for its next process."""
+
+    departures: tuple[Departure, ...]
+    nodes: tuple[ListedNode, ...]
+
+
+class RecoverDepartures(Struct, frozen=True):
+    """Ask other nodes for the departures that they keep for this node."""
+
+    nodes: tuple[ListedNode, ...]
+
+
+class DeparturesRecovered(Struct, frozen=True):
+    """Report departures that another node has kept for this one."""
+
+    departures: tuple[Departure, ...]
+    is_last: bool  # every node that was asked has answered or failed
+
+
+class DeparturesOffered(Struct, frozen=True):
+    """Report another node's departures, answered with those kept for that node."""
+
+    body: bytes
+    reply: Reply
+
+
 class WithdrawNode(Struct, frozen=True):
     """Remove this node's record from the store."""
 
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -15,18 +15,18 @@
 from monsoontray.decisions.sources import StoreAccess, choose_store_access
 from monsoontray.decoding.errors import DecodingError
 from monsoontray.decoding.refusals import EntryRefusals
+from monsoontray.discovery.departures import DepartureRecords
 from monsoontray.discovery.encoding import (
     DEPARTURES_KEY_PREFIX,
     NODE_KEY_PREFIX,
     decode_departures,
     decode_node,
-    encode_departures,
 )
 from monsoontray.discovery.messages import (
     ChooseStoreAccess,
+    DeparturesRecovered,
     DeparturesWritten,
     DescribeNodes,
-    PublishDepartures,
     PublishNode,
     ServerAnnounced,
     ServerLeft,
@@ -48,14 +48,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from monsoontray.kernel.mailbox import Reply
     from monsoontray.settings.settings import Settings
     from monsoontray.store.outcomes import Record
 
 NAME = "membership"
-#: Longest time for which a server waits until the store has its leaving. Then it is
-#: acknowledged all the same, because a server waits a second only.
-MAX_ACKNOWLEDGEMENT_DELAY_S = 0.4
 
 
 class Discovery(Task):
@@ -68,14 +64,16 @@
         self._node = settings.get_string("node")
         self._key = NODE_KEY_PREFIX + self._node
         self._departures_key = DEPARTURES_KEY_PREFIX + self._node
-        #: Replies that wait for the store, with the time at which they are due.
-        self._unacknowledged: list[tuple[float, Reply]] = []
         self._refusals = EntryRefusals(kernel.find("metrics"), "node")
         self._incarnation = time.time_ns()
         self._directory = NodeDirectory()
         self._local_server = LocalServerTracker()
+        self._departures = DepartureRecords(
+            kernel, self._node, self._local_server, self._directory
+        )
         self._stopping = False
-        #: Until then the record of an earlier process of this node is not replaced.
+        #: Whether the store was read. Until then, and until departures are recovered,
+        #: the record of an earlier process of this node is not replaced.
         self._is_listed = False
         self._random = Random(self._node)
         self._location = Location(
@@ -83,18 +81,21 @@
         )
 
     def find_next_deadline(self) -> float | None:
-        """Return when an unlisted node is removed or a leaving acknowledged."""
-        due = [deadline for deadline, _ in self._unacknowledged]
-        directory_due = self._directory.find_next_deadline()
-        return min(
-            due + ([] if directory_due is None else [directory_due]), default=None
+        """Return when an unlisted node is removed or a departure needs attention."""
+        due = (
+            self._directory.find_next_deadline(),
+            self._departures.find_next_deadline(),
         )
+        return min((each for each in due if each is not None), default=None)
 
     def on_deadline(self) -> None:
-        """Remove nodes that have been unlisted for too long; acknowledge leavings."""
+        """Remove nodes that have been unlisted for too long; record departures."""
         now = self.clock.now()
-        if any(deadline <= now for deadline, _ in self._unacknowledged):
-            self.acknowledge_departures()
+        was_recovered = self._departures.is_recovered
+        self._departures.run_due(now)
+        if self._departures.is_recovered and not was_recovered:
+            logger.info("no answer from all nodes that may know which servers left")
+            self._use_local_server()
         if self._directory.expire(now):
             self._update_servers()
 
@@ -109,9 +110,14 @@
         nodes = [node for node in decoded if node is not None]
         own = [node for node in nodes if node.node == self._node]
         others = [node for node in nodes if node.node != self._node]
+        is_first = not self._is_listed
         self._is_listed = True
         self._take_over(own)
         self._directory.sync([*others, self._build_node()], self.clock.now())
+        if is_first:
+            self._departures.begin_recovery()
+        else:
+            self._departures.ask_keepers()
         if own != [self._build_node()]:
             self._publish()
         self._update_servers()
@@ -140,6 +146,7 @@
             else:
                 logger.bind(peer=name).info("node is no longer listed")
                 self._directory.unlist(name, now)
+        self._departures.ask_keepers()
         self._update_servers()
 
     def handle_announcement(self, message: ServerAnnounced) -> None:
@@ -159,7 +166,9 @@
             self._publish()
             self._update_servers()
         if announcement.state is ServerState.LEAVING:
-            self._acknowledge(announcement.server, announcement.born, message.reply)
+            self._departures.acknowledge(
+                announcement.server, announcement.born, message.reply
+            )
         else:
             message.reply.put(effect)
 
@@ -174,18 +183,22 @@
             self._update_guard()
             self._publish()
             self._update_servers()
-        self._acknowledge(message.server, message.born, message.reply, has_left=True)
-
-    def acknowledge_departures(self) -> None:
-        """Acknowledge the leavings that the store has, or that have waited for it."""
-        waiting, self._unacknowledged = self._unacknowledged, []
-        for _, reply in waiting:
-            reply.put(AnnouncementEffect.CHANGED)
+        self._departures.acknowledge(
+            message.server, message.born, message.reply, has_left=True
+        )
 
     def handle_departures_written(self, message: DeparturesWritten) -> None:
-        """Acknowledge the leavings if the store has the latest of them."""
-        if message.value == encode_departures(self._local_server.get_departures()):
-            self.acknowledge_departures()
+        """Acknowledge the leavings that the store has."""
+        self._departures.handle_written(message.value)
+
+    def recover_departures(self, message: DeparturesRecovered) -> None:
+        """Take over which servers have left, as another node has kept it."""
+        was_recovered = self._departures.is_recovered
+        if self._departures.recover(message.departures, message.is_last):
+            logger.info("local server is leaving, as another node knew")
+        elif self._departures.is_recovered is was_recovered:
+            return
+        self._use_local_server()
 
     def handle_leaving(self, message: ServerLeaving) -> None:
         """Publish that a local server leaves, as it has said in a response."""
@@ -193,7 +206,7 @@
             logger.bind(server=message.server, born=message.born).info(
                 "local server says that it leaves"
             )
-            self._remember_departure(message.server, message.born)
+            self._departures.record(message.server, message.born)
             self._update_guard()
             self._publish()
             self._update_servers()
@@ -209,29 +222,6 @@
         read_by_all = self._settings.get_int("read_by_all")
         return choose_store_access(self._location, listed, read_by_all, self._random)
 
-    def _acknowledge(
-        self, server: str, born: int, reply: Reply, has_left: bool = False
-    ) -> None:
-        """Acknowledge a leaving once the store has it, so that it binds this node."""
-        if self._remember_departure(server, born, has_left):
-            deadline = self.clock.now() + MAX_ACKNOWLEDGEMENT_DELAY_S
-            self._unacknowledged.append((deadline, reply))
-        else:
-            reply.put(AnnouncementEffect.REPEATED)
-
-    def _remember_departure(
-        self, server: str, born: int, has_left: bool = False
-    ) -> bool:
-        """Write a leaving to the store; return whether it is a new one."""
-        is_new = self._local_server.acknowledge_departure(
-            server, born, self.clock.wall_time(), has_left
-        )
-        if not is_new:
-            return False
-        value = encode_departures(self._local_server.get_departures())
-        self.kernel.post("publisher", PublishDepartures(value))
-        return True
-
     def _restore_departures(self, records: Iterable[Record]) -> None:
         """Take over which servers have left, as earlier processes acknowledged it."""
         for record in records:
@@ -246,8 +236,15 @@
                 logger.info("local server is leaving, as an earlier process knew")
                 self._update_guard()
 
+    def _use_local_server(self) -> None:
+        """Let calls use the local server, now that it is known which have left."""
+        self._update_guard()
+        self._publish()
+        self._update_servers()
+
     def _build_node(self) -> ListedNode:
-        server = _build_server(self._local_server)
+        is_usable = self._departures.is_recovered
+        server = _build_server(self._local_server) if is_usable else None
         return ListedNode(
             node=self._node,
             region=self._location.region,
@@ -299,14 +296,14 @@
     def _publish(self) -> None:
         node = self._build_node()
         self._directory.add(node)
-        if self._is_listed:
+        if self._is_listed and self._departures.is_recovered:
             self.kernel.post("publisher", PublishNode(msgspec.json.encode(node)))
 
     def _update_guard(self) -> None:
         """Post the local server, if any, to the forwarding service."""
         record = self._local_server.build_record()
         local: tuple[LocalServer, ...] = ()
-        if record is not None:
+        if record is not None and self._departures.is_recovered:
             address = self._settings.get_address("server_address")
             local = (LocalServer(record, address),)
         self.kernel.post("forwarding", UpdateLocalServers(local))
@@ -372,6 +369,11 @@
     discovery.handle_departures_written(message)
 
 
+@handle_message.register(DeparturesRecovered)
+def _(message: DeparturesRecovered, discovery: Discovery) -> None:
+    discovery.recover_departures(message)
+
+
 @handle_message.register(ServerUnconfirmed)
 def _(message: ServerUnconfirmed, discovery: Discovery) -> None:
     logger.bind(server=message.server, reason=message.reason).warning(
@@ -401,5 +403,5 @@
 
 def setup(kernel: Kernel) -> None:
     """Register the service."""
-    requires = ("settings", "metrics", "publisher")
+    requires = ("settings", "metrics", "publisher", "departure-keepers")
     kernel.register(Registration(NAME, requires, Discovery))
--- a/monsoontray/node.py
+++ b/monsoontray/node.py
@@ -36,6 +36,7 @@
         "monsoontray.forwarding.forwarder",
         "monsoontray.discovery.service",
         "monsoontray.discovery.publisher",
+        "monsoontray.discovery.keepers",
         "monsoontray.discovery.mirror",
         "monsoontray.discovery.watch",
         "monsoontray.containment.writer",
--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -16,6 +16,7 @@
 from monsoontray.decoding.values import MAX_INT64
 from monsoontray.discovery.encoding import MirrorResponse, encode_response
 from monsoontray.discovery.messages import (
+    DeparturesOffered,
     DescribeNodes,
     ReadMirror,
     ServerAnnounced,
@@ -62,12 +63,15 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._service: str = kernel.find("settings").settings.get_string("service")
-        self._routes = {
+        self._routes: dict[str, Callable[[ServerRequest], ServerResponse]] = {
             "/readiness": self.check_readiness,
             "/rpc": self.handle_announcement,
             "/metrics": self.render_metrics,
             "/mirror": self.read_mirror,
-            "/containment": self.exchange_records,
+            "/containment": partial(self.exchange, "containment-peers", RecordsOffered),
+            "/departures": partial(
+                self.exchange, "departure-keepers", DeparturesOffered
+            ),
             "/evidence": self.read_evidence,
             "/status": self.describe_node,
         }
@@ -130,11 +134,11 @@
         """Return the guard's evidence on its server; rollout decisions use it."""
         return _build_response(self._ask("forwarding", ReadEvidence))
 
-    def exchange_records(self, request: ServerRequest) -> ServerResponse:
-        """Take another node's records of ended servers; return what it lacks."""
-        answer: bytes = self._ask(
-            "containment-peers", partial(RecordsOffered, request.body)
-        )
+    def exchange(
+        self, service: str, build_message: Callable[..., object], request: ServerRequest
+    ) -> ServerResponse:
+        """Pass what another node offers to a service; return what that node lacks."""
+        answer: bytes = self._ask(service, partial(build_message, request.body))
         return ServerResponse(answer, content_type="application/octet-stream")
 
     def describe_node(self, request: ServerRequest) -> ServerResponse:
@@ -222,5 +226,6 @@
 
 def setup(kernel: Kernel) -> None:
     """Register the service."""
-    requires = ("settings", "metrics", "membership", "mirror", "containment-peers")
+    requires = ("settings", "metrics", "membership", "mirror", "containment-peers",
+                "departure-keepers")  # fmt: skip
     kernel.register(Registration(NAME, requires, EndpointService))
--- a/tests/test_bench/test_soak.py
+++ b/tests/test_bench/test_soak.py
@@ -16,6 +16,7 @@
 REGRESSIONS: tuple[int, ...] = (
     70013,  # the lease of a record of departures lapsed before the node's restart
     71023,  # the response to the grant of such a lease was lost
+    70017,  # the store took no departure before the process that acknowledged it ended
 )
 
 ORDER = Outcome(
--- a/tests/test_discovery/test_service.py
+++ b/tests/test_discovery/test_service.py
@@ -7,6 +7,7 @@
 from monsoontray.decisions.announcements import Announcement, AnnouncementEffect
 from monsoontray.decisions.directory import ListedNode
 from monsoontray.decisions.servers import ServerState
+from monsoontray.discovery.departures import MAX_RECOVERY_S
 from monsoontray.discovery.messages import (
     DeparturesWritten,
     PublishDepartures,
@@ -39,11 +40,18 @@
 @pytest.fixture
 def discovery(kernel):
     discovery = Discovery(kernel)
-    handle_message(StoreListed((), 0), discovery)
+    list_store(discovery)
     kernel.posted.clear()
     return discovery
 
 
+def list_store(discovery, *records):
+    """List the records of the store, and let no other node answer."""
+    handle_message(StoreListed(records, 5), discovery)
+    discovery.clock.seconds += MAX_RECOVERY_S
+    discovery.on_deadline()
+
+
 def announce(discovery, kernel, **changes):
     reply = Reply(kernel.clock)
     message = ServerAnnounced(replace(HEARTBEAT, **changes), reply)
@@ -108,6 +116,14 @@
     kernel.clock.seconds = discovery.find_next_deadline()
     discovery.on_deadline()
     assert reply.wait(kernel.clock.now()) is AnnouncementEffect.CHANGED
+    # Other nodes keep the departure until the store has it.
+    for _ in range(3):
+        kernel.pop_posted("departure-keepers")
+        kernel.clock.seconds = discovery.find_next_deadline()
+        discovery.on_deadline()
+        (told,) = kernel.pop_posted("departure-keepers")
+        assert [each.server for each in told.departures] == ["i-1"]
+    confirm_departures(discovery, kernel)
     assert discovery.find_next_deadline() is None
 
 
@@ -118,7 +134,7 @@
 @pytest.mark.parametrize("is_late", [False, True])
 def test_acknowledged_leaving_binds_the_next_process(kernel, born, leaves, is_late):
     earlier = Discovery(kernel)
-    handle_message(StoreListed((), 1), earlier)
+    list_store(earlier)
     announce(earlier, kernel)
     if leaves:
         announce(earlier, kernel, sequence=2, state=ServerState.LEAVING)
@@ -134,10 +150,10 @@
     other = Record("departures/node-1", 5, b"[]")
     later = Discovery(kernel)
     if is_late:
-        handle_message(StoreListed((record, other), 5), later)
+        list_store(later, record, other)
     effect = announce(later, kernel, sequence=9)
     if not is_late:
-        handle_message(StoreListed((record, other), 5), later)
+        list_store(later, record, other)
     else:
         assert effect is AnnouncementEffect.STALE
     local_servers = get_local_servers(kernel)
@@ -152,10 +168,9 @@
 def test_odd_record_of_departures_is_refused(kernel):
     discovery = Discovery(kernel)
     for value in (b"", b"[" * 100_000, b'[["i-1"]]', b'[["i-1",-1,0]]'):
-        handle_message(
-            StoreListed((Record("departures/node-0", 5, value),), 5), discovery
-        )
+        list_store(discovery, Record("departures/node-0", 5, value))
     assert announce(discovery, kernel) is AnnouncementEffect.CHANGED
+    assert get_local_servers(kernel)
 
 
 def test_late_heartbeat_is_ignored(discovery, kernel):
@@ -194,7 +209,7 @@
 
 
 def list_own_record(discovery, record):
-    handle_message(StoreListed((record,), record.revision), discovery)
+    list_store(discovery, record)
 
 
 def build_own_record(kernel, incarnation, leaving):
@@ -225,7 +240,7 @@
     discovery = Discovery(kernel)
     announce(discovery, kernel)
     assert read_published(kernel) == []
-    handle_message(StoreListed((), 1), discovery)
+    list_store(discovery)
     (published,) = read_published(kernel)
     assert published.server.server == HEARTBEAT.server
 
