Pipeline calls and kill nodes beside cold servers in the soak

Change: one caller a node pipelines three reads. A cold server that gets more than its limit of calls that were sent and arrived in one second is reported as FAILBACK. The client reads chunks, keeps bytes of the next response, and fails if either breaks off.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -6,6 +6,9 @@
 from dataclasses import dataclass
 
 TIMEOUT_S = 20.0
+RECEIVE_BYTES = 262_144
+_HEAD_END = b"\r\n\r\n"
+_LINE_END = b"\r\n"
 
 
 class CutResponseError(Exception):
@@ -36,6 +39,7 @@
         host, _, port = address.rpartition(":")
         self._sock = socket.create_connection((host, int(port)), timeout_s)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._unread = b""  # received behind the last response that was read
 
     def call(self, request: bytes) -> Response:
         """Send a request and return the complete response."""
@@ -47,27 +51,48 @@
         self._sock.sendall(data)
 
     def read_response(self) -> Response:
-        """Return the next response; a body needs a Content-Length."""
-        data = self._sock.recv(65_536)
-        while b"\r\n\r\n" not in data:
-            data += self._receive()
-        head, _, body = data.partition(b"\r\n\r\n")
-        status = int(head[9:12])
-        length = _read_length(head)
-        chunks = [body]
-        missing_bytes = length - len(body)
-        while missing_bytes > 0:
-            chunk = self._receive()
-            chunks.append(chunk)
-            missing_bytes -= len(chunk)
-        return Response(status, head, b"".join(chunks))
+        """Return the next response; its body is in chunks or has a Content-Length."""
+        head = self._read_until(_HEAD_END)
+        response = Response(int(head[9:12]), head, b"")
+        if response.get_header(b"transfer-encoding") == b"chunked":
+            body = self._read_chunks()
+        else:
+            body = self._read_bytes(_read_length(head))
+        return Response(response.status, head, body)
 
     def close(self) -> None:
         """Close the connection."""
         self._sock.close()
 
+    def _read_chunks(self) -> bytes:
+        """Return a body in chunks, up to the last chunk, which has no trailers."""
+        chunks = []
+        while size := int(self._read_until(_LINE_END), 16):
+            chunks.append(self._read_bytes(size))
+            self._read_until(_LINE_END)
+        self._read_until(_LINE_END)
+        return b"".join(chunks)
+
+    def _read_until(self, end: bytes) -> bytes:
+        """Return what precedes an end, and remove both."""
+        while end not in self._unread:
+            self._unread += self._receive()
+        found, _, self._unread = self._unread.partition(end)
+        return found
+
+    def _read_bytes(self, size: int) -> bytes:
+        """Return and remove a number of bytes."""
+        parts = [self._unread]
+        missing = size - len(self._unread)
+        while missing > 0:
+            parts.append(self._receive())
+            missing -= len(parts[-1])
+        received = b"".join(parts)
+        self._unread = received[size:]
+        return received[:size]
+
     def _receive(self) -> bytes:
-        chunk = self._sock.recv(262_144)
+        chunk = self._sock.recv(RECEIVE_BYTES)
         if not chunk:
             raise CutResponseError(
                 "the connection was closed before the response was complete"
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -13,6 +13,7 @@
 from bench.fleet import BackendHandle, Fleet, NodeHandle
 
 HOST = "shop.example"
+COLD_PER_S = 21.0  # calls a second that a cold server tolerates
 
 
 @dataclass(slots=True)
@@ -148,7 +149,7 @@
                 "health_path": "/health",
                 "max_conns": 130,
                 "cold_start_s": 3.0,
-                "cold_per_s": 21.0,
+                "cold_per_s": COLD_PER_S,
             }
             for name in services
         ],
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -18,6 +18,7 @@
 UPLOAD_BYTES = 60_000
 UPLOAD_PIECES = 4
 UPLOAD_PAUSE_S = 0.02  # between two pieces
+PIPELINED_CALLS = 3  # sent at once by a caller that pipelines
 NO_RESPONSE = 0  # status of a call without a complete response
 
 
@@ -43,13 +44,19 @@
     """Thread that sends calls to a node over one connection, which it reopens."""
 
     def __init__(
-        self, node: MeshNode, name: str, latest_version: list[int], seed: int
+        self,
+        node: MeshNode,
+        name: str,
+        latest_version: list[int],
+        seed: int,
+        pipelines: bool = False,
     ) -> None:
         self.outcomes: list[Outcome] = []
         self._node = node
         self._name = name
         self._latest_version = latest_version  # a single element, updated by the soak
         self._random = Random(seed)
+        self._pipelines = pipelines  # sends further reads before the first is answered
         self._stopped = threading.Event()
         self._router: Router | None = None
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -67,9 +74,49 @@
         number = 0
         while not self._stopped.wait(CALL_INTERVAL_S):
             number += 1
-            self._call(f"{self._name}-{number}")
+            if self._pipelines:
+                self._call_pipelined(f"{self._name}-{number}")
+            else:
+                self._call(f"{self._name}-{number}")
         self._close()
 
+    def _call_pipelined(self, name: str) -> None:
+        """Send several reads at once, and read the responses in this order.
+
+        Those behind a response that closes the connection get none.
+        """
+        call_ids = [f"{name}-{i}" for i in range(PIPELINED_CALLS)]
+        unanswered = [self._begin_outcome(each, f"/read/{each}") for each in call_ids]
+        requests = [
+            build_mesh_request(
+                each.path, each.call_id, "GET", b"", X_Deadline_Ms=str(DEADLINE_MS)
+            )
+            for each in unanswered
+        ]
+        try:
+            router = self._connect()
+            router.send(b"".join(requests))
+            while unanswered and self._router is not None:
+                response = router.read_response()
+                outcome = replace(unanswered.pop(0), ended_at=time.monotonic())
+                self.outcomes.append(_add_response(outcome, response))
+                self._close_if_asked(response)
+        except (OSError, CutResponseError, ValueError):
+            self._handle_loss()
+        ended_at = time.monotonic()
+        self.outcomes += [replace(each, ended_at=ended_at) for each in unanswered]
+
+    def _begin_outcome(
+        self, call_id: str, path: str, body_bytes: int = 0, is_order: bool = False
+    ) -> Outcome:
+        """Return the outcome of a call that is sent now and has no response yet."""
+        process = self._node.handle.process
+        now = time.monotonic()
+        return Outcome(
+            call_id, path, body_bytes, is_order, self._node.handle.name,
+            0 if process is None else process.pid, now, now, NO_RESPONSE,
+        )  # fmt: skip
+
     def _call(self, call_id: str) -> None:
         draw = self._random.random()
         path, method, body = f"/read/{call_id}", "GET", b""
@@ -86,32 +133,36 @@
             headers["X_Body_Bytes"] = str(UPLOAD_BYTES)
             build = self._random.choice((build_mesh_request, build_chunked_request))
         request = build(path, call_id, method, body, **headers)
-        process = self._node.handle.process
-        sent_at = time.monotonic()
+        outcome = self._begin_outcome(call_id, path, len(body), method == "POST")
         response = self._send_request(request)
-        outcome = Outcome(
-            call_id, path, len(body), method == "POST", self._node.handle.name,
-            0 if process is None else process.pid, sent_at, time.monotonic(),
-            NO_RESPONSE if response is None else response.status,
-        )  # fmt: skip
+        outcome = replace(outcome, ended_at=time.monotonic())
         if response is not None:
             outcome = _add_response(outcome, response)
         self.outcomes.append(outcome)
 
     def _send_request(self, request: bytes) -> Response | None:
         try:
-            if self._router is None:
-                self._router = Router(
-                    self._node.handle.entry_address, RESPONSE_TIMEOUT_S
-                )
-            response = self._send_pieces(self._router, request)
+            response = self._send_pieces(self._connect(), request)
         except (OSError, CutResponseError, ValueError):
-            self._close()
-            self._stopped.wait(RECONNECT_DELAY_S)
+            self._handle_loss()
             return None
+        self._close_if_asked(response)
+        return response
+
+    def _connect(self) -> Router:
+        if self._router is None:
+            address = self._node.handle.entry_address
+            self._router = Router(address, RESPONSE_TIMEOUT_S)
+        return self._router
+
+    def _handle_loss(self) -> None:
+        """Close the connection, and wait a little before the next one."""
+        self._close()
+        self._stopped.wait(RECONNECT_DELAY_S)
+
+    def _close_if_asked(self, response: Response) -> None:
         if response.get_header(b"connection") == b"close":
             self._close()
-        return response
 
     def _send_pieces(self, router: Router, request: bytes) -> Response:
         """Send a request, an upload with pauses, and return the response."""
@@ -132,6 +183,7 @@
 def _add_response(outcome: Outcome, response: Response) -> Outcome:
     return replace(
         outcome,
+        status=response.status,
         seal=response.get_header(b"x-response-seal").decode("latin-1"),
         response_call_id=response.get_header(b"x-request-id").decode("latin-1"),
         content=response.body,
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
+from bench.mesh import COLD_PER_S
 from bench.soak.callers import NO_RESPONSE, Outcome
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 SEAL_PREFIX = "seal-of-"  # of a stand-in's seal; its name follows
+#: Limit on the calls in a second of a cold server, which tolerates COLD_PER_S.
+COLD_FACTOR = 1.5
+COLD_SLACK = 5.0
+COLD_WINDOW_S = 1.0
 #: A response may be lost during a fault and for this time after its end.
 GRACE_S = 3.0
 
@@ -50,6 +55,29 @@
     return violations + check_versions(outcomes)
 
 
+def check_cold_servers(
+    outcomes: Sequence[Outcome],
+    arrivals: Mapping[str, Sequence[tuple[float, str]]],
+) -> list[str]:
+    """Return the cold servers that got too many calls in one second.
+
+    ``arrivals`` has the times and calls of each server. Counted are calls that were
+    sent and arrived in that second.
+    """
+    sent_at = {outcome.call_id: outcome.sent_at for outcome in outcomes}
+    limit = COLD_PER_S * COLD_FACTOR + COLD_SLACK
+    violations = []
+    for server, found in arrivals.items():
+        calls = [(sent_at.get(call_id, at), at) for at, call_id in found]
+        most = max(
+            sum(sent >= begin and at < begin + COLD_WINDOW_S for sent, at in calls)
+            for begin, _ in calls
+        )
+        if most > limit:
+            violations.append(f"FAILBACK: {server} got {most} calls in a second")
+    return violations
+
+
 def check_versions(outcomes: Iterable[Outcome]) -> list[str]:
     """Return the processes that served an older configuration than before.
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -11,6 +11,7 @@
     AnnounceLeaving,
     DrainServer,
     EvacuateZone,
+    KillBesideColdServer,
     KillNode,
     KillServer,
     LeaveAndRestart,
@@ -30,6 +31,8 @@
     from bench.mesh import MeshNode
     from bench.soak.runner import Soak
 
+COLD_S = 5.0  # time for which a replaced server is cold; longer than most faults
+
 
 @singledispatch
 def begin_fault(action: Any, soak: Soak, node: MeshNode) -> None:
@@ -53,6 +56,15 @@
     node.handle.process.send_signal(signal.SIGTERM)
 
 
+@begin_fault.register(KillBesideColdServer)
+def _(action: KillBesideColdServer, soak: Soak, node: MeshNode) -> None:
+    soak.kill_server(node)
+    soak.start_server(node, cold_s=COLD_S)
+    soak.wait_for_calls(node)
+    soak.mesh.fleet.kill_node(node.handle)
+
+
+@finish_fault.register(KillBesideColdServer)
 @finish_fault.register(KillNode)
 @finish_fault.register(StopNode)
 def _(action: Any, soak: Soak, node: MeshNode) -> None:
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -52,6 +52,11 @@
     """Deregister a back end and stop its node, then send a late heartbeat."""
 
 
+@dataclass(slots=True, frozen=True)
+class KillBesideColdServer:
+    """Replace a back end by a cold one, then kill its node; restart that at the end."""
+
+
 @dataclass(slots=True, frozen=True)
 class SendFatalRequests:
     """Send a request that ends the back ends that run it to all nodes.
@@ -136,6 +141,9 @@
 ORDERS: tuple[Any, ...] = (PublishConfiguration(), EvacuateZone())
 #: Faults of a node and its server at the same time.
 VM_FAULTS: tuple[Any, ...] = (LeaveAndRestart(),)
+#: Drawn apart from the others, for the seeds that leave this remainder.
+COLD_FAULT = KillBesideColdServer()
+COLD_INTERVAL, COLD_REMAINDER = 4, 2
 GROUPS = (NODE_FAULTS, SERVER_FAULTS, NETWORK_FAULTS, STORE_FAULTS, ORDERS, VM_FAULTS)
 #: Actions of regular operation: no call may be lost if only these happen.
 PLANNED_ACTIONS: tuple[Any, ...] = (StopNode(), DrainServer(), PublishConfiguration())
@@ -167,7 +175,7 @@
         names = {
             name
             for name, group in (("node", NODE_FAULTS), ("server", SERVER_FAULTS))
-            if self.action in group or self.action in VM_FAULTS
+            if self.action in group or self.action in (*VM_FAULTS, COLD_FAULT)
         }
         return frozenset(
             (name, self.node_index) for name in names or {repr(self.action)}
@@ -191,4 +199,20 @@
         )
         for _ in range(count)
     ]
+    if seed % COLD_INTERVAL == COLD_REMAINDER and seed % PLANNED_ONLY_INTERVAL:
+        faults += _draw_cold_faults(seed, duration_s, nodes)
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def _draw_cold_faults(seed: int, duration_s: float, nodes: int) -> list[SoakFault]:
+    """Return kills of nodes beside cold servers, which follow each other closely."""
+    random = Random(f"{seed} cold")
+    return [
+        SoakFault(
+            round(random.uniform(0.0, duration_s), 2),
+            round(random.uniform(MIN_FAULT_S, MAX_FAULT_S), 2),
+            COLD_FAULT,
+            random.randrange(nodes),
+        )
+        for _ in range(random.randint(2, 4))
+    ]
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -28,9 +28,15 @@
     build_route,
 )
 from bench.soak.callers import Caller
-from bench.soak.checks import check_outcomes
+from bench.soak.checks import (
+    COLD_FACTOR,
+    COLD_SLACK,
+    check_cold_servers,
+    check_outcomes,
+)
 from bench.soak.faults import begin_fault, finish_fault
 from bench.soak.plan import (
+    COLD_FAULT,
     KillNode,
     LeaveAndRestart,
     SoakFault,
@@ -41,10 +47,13 @@
 READ_ROUTE = build_route("/read/", "one")
 ORDER_ROUTE = build_route("/order/", "one", kind="non_idempotent")
 CALLERS_PER_NODE = 2
+PIPELINING_CALLERS_PER_NODE = 1
 FATAL_PATH = "/read/fatal"
 FATAL_BODY = b"fatal" * 5_000
 FATAL_TIMEOUT_S = 0.5
 LATE_CALLS_S = 2.5  # time in which calls to a server that has left are recorded
+COLD_CALLS = 10  # that a cold server has got when its node is killed
+COLD_CALLS_TIMEOUT_S = 3.0
 READY_TIMEOUT_S = 5.0  # of a restarted node, before a late heartbeat is sent
 RECOVERY_TIMEOUT_S = 15.0  # after the last fault, as on the platform
 PROBE_CALLS = 5  # consecutive calls that a recovered node must serve
@@ -87,7 +96,12 @@
         fleet.start_proxy()
         self.publish_configuration()
         for i in range(nodes):
-            settings = {"read_by_all": read_by_all, "stop_notice_ms": STOP_NOTICE_MS}
+            settings = {
+                "read_by_all": read_by_all,
+                "stop_notice_ms": STOP_NOTICE_MS,
+                "cold_factor": COLD_FACTOR,
+                "cold_slack": COLD_SLACK,
+            }
             zone = f"zone-{i % self.zones}"
             self.start_server(self.mesh.add_node(f"node-{i}", zone, "one", **settings))
         fleet.label_processes()
@@ -95,10 +109,20 @@
         for node in self.mesh.nodes:
             self.wait_until_serving(node)
 
-    def start_server(self, node: MeshNode) -> None:
+    def start_server(self, node: MeshNode, cold_s: float = 0.0) -> None:
         """Start a new incarnation of a node's server."""
         name = f"i-{next(self._instance_numbers)}"
-        self.mesh.start_server(node, name, "v1", f"--runs_file={self.runs_file}")
+        flags = (f"--runs_file={self.runs_file}", f"--cold_s={cold_s}")
+        self.mesh.start_server(node, name, "v1", *flags)
+
+    def wait_for_calls(self, node: MeshNode) -> None:
+        """Wait until a node's server has got some calls, for a limited time."""
+        with contextlib.suppress(FleetError):
+            self.mesh.fleet.wait_for(
+                lambda: len(self.mesh.get_observed(node)["arrivals"]) >= COLD_CALLS,
+                "calls of a cold server",
+                COLD_CALLS_TIMEOUT_S,
+            )
 
     def kill_server(self, node: MeshNode) -> None:
         """Kill a node's server."""
@@ -264,7 +288,7 @@
         stopped_by_fault = {
             f.node_index
             for f in faults
-            if f.action in (KillNode(), StopNode(), LeaveAndRestart())
+            if f.action in (KillNode(), StopNode(), LeaveAndRestart(), COLD_FAULT)
         }
         return [
             f"ENDED: {node.handle.name} ended by itself"
@@ -292,6 +316,14 @@
             for node in soak.mesh.nodes
             for i in range(CALLERS_PER_NODE)
         ]
+        callers += [
+            Caller(
+                node, f"{node.handle.name}-p{i}", soak.latest_version,
+                seed * 1000 + CALLERS_PER_NODE + i, pipelines=True,
+            )
+            for node in soak.mesh.nodes
+            for i in range(PIPELINING_CALLERS_PER_NODE)
+        ]  # fmt: skip
         for caller in callers:
             caller.start()
         broken = []
@@ -304,23 +336,33 @@
         for caller in callers:
             caller.stop()
         broken += soak.broken + soak.find_crashed_nodes(faults)
-        runs, late_calls = read_runs(soak.runs_file)
+        runs, late_calls, cold_arrivals = read_runs(soak.runs_file)
     outcomes = [each for caller in callers for each in caller.outcomes]
     broken += check_outcomes(outcomes, runs, late_calls, soak.fault_periods)
+    broken += check_cold_servers(outcomes, cold_arrivals)
     served = sum(each.status == 200 for each in outcomes) / max(1, len(outcomes))
     return SoakResult(
         seed, broken, len(outcomes), round(served, 3), len(faults), fleet.directory
     )
 
 
-def read_runs(path: Path) -> tuple[Counter[str], list[str]]:
-    """Return how often each call ran, and the calls that arrived too late."""
+def read_runs(
+    path: Path,
+) -> tuple[Counter[str], list[str], dict[str, list[tuple[float, str]]]]:
+    """Return how often each call ran, and the calls that arrived too late.
+
+    The third value has the times and calls that cold servers got, by server.
+    """
     runs: Counter[str] = Counter()
     late_calls = []
+    cold_arrivals: dict[str, list[tuple[float, str]]] = {}
     for line in path.read_text().splitlines() if path.exists() else ():
-        event, _, call_id = line.partition(" ")
+        event, call_id, *details = line.split(" ")
         if event == "run":
             runs[call_id] += 1
-        else:
+        elif event == "late":
             late_calls.append(call_id)
-    return runs, late_calls
+        else:
+            server, seconds = details
+            cold_arrivals.setdefault(server, []).append((float(seconds), call_id))
+    return runs, late_calls, cold_arrivals
--- a/bench/standins/mesh.py
+++ b/bench/standins/mesh.py
@@ -149,6 +149,7 @@
         node: str,
         address: str,
         runs_file: str = "",
+        cold_s: float = 0.0,
     ) -> None:
         self.name = name
         self.node = node
@@ -163,6 +164,7 @@
         self.sequence = 0
         self.behaviour = Behaviour()
         self.observed = Observed()
+        self.cold_until = time.monotonic() + cold_s
         self.leaving_acknowledged_at: float | None = None  # monotonic time
         self._runs_fd = -1  # of the runs file, which outlives the process
         if runs_file:
@@ -199,7 +201,9 @@
                     **self.heartbeat,
                     "seq": self.sequence,
                     "state": self.behaviour.state,
-                    "cold_left_s": self.behaviour.cold_left_s,
+                    "cold_left_s": max(
+                        self.behaviour.cold_left_s, self.cold_until - time.monotonic()
+                    ),
                 }
                 try:
                     async with session.post(url, json=body) as response:
@@ -234,7 +238,10 @@
             self.observed.misdirected += 1
             refusal = {"X-Instance-Id": self.name, CALL_ID_HEADER: call_id}
             return web.Response(status=421, headers=refusal)
-        self.observed.arrivals.append(time.monotonic())
+        now = time.monotonic()
+        self.observed.arrivals.append(now)
+        if now < self.cold_until:
+            self._record_event("cold", f"{call_id} {self.name} {now}")
         behaviour = self.behaviour
         if behaviour.shed:
             refusal = {"X-Not-Executed": "1", CALL_ID_HEADER: call_id}
@@ -303,9 +310,9 @@
             request.transport.write(PARTIAL_RESPONSE)
         return response
 
-    def _record_event(self, event: str, call_id: str) -> None:
+    def _record_event(self, event: str, details: str) -> None:
         if self._runs_fd >= 0:
-            os.write(self._runs_fd, f"{event} {call_id}\n".encode())
+            os.write(self._runs_fd, f"{event} {details}\n".encode())
 
     async def _send_endlessly(
         self, request: web.Request, headers: dict[str, str]
@@ -341,10 +348,11 @@
 
 def run(
     name: str, service: str, port: int, node: str, version: str = "v1",
-    host: str = "127.0.0.1", runs_file: str = "",
+    host: str = "127.0.0.1", runs_file: str = "", cold_s: float = 0.0,
 ) -> None:  # fmt: skip
     """Serve until stopped by a signal."""
-    server = MeshServer(name, service, str(version), node, f"{host}:{port}", runs_file)
+    address = f"{host}:{port}"
+    server = MeshServer(name, service, str(version), node, address, runs_file, cold_s)
     web.run_app(
         server.build_application(),
         host=host,
--- a/tests/test_bench/test_soak.py
+++ b/tests/test_bench/test_soak.py
@@ -8,8 +8,8 @@
 import pytest
 
 from bench.soak.callers import NO_RESPONSE, Outcome
-from bench.soak.checks import GRACE_S, check_outcomes
-from bench.soak.plan import GROUPS, PLANNED_ONLY_INTERVAL, draw_faults
+from bench.soak.checks import GRACE_S, check_cold_servers, check_outcomes
+from bench.soak.plan import COLD_FAULT, GROUPS, PLANNED_ONLY_INTERVAL, draw_faults
 from bench.soak.runner import read_runs, run_soak
 
 #: Seeds that found a fault before at the usual size, each with a comment on its cause.
@@ -85,14 +85,28 @@
     planned = draw_faults(PLANNED_ONLY_INTERVAL, 15.0, 6)
     assert all(fault.is_planned for fault in planned)
     drawn = {f.action for seed in range(1, 60) for f in draw_faults(seed, 15.0, 6)}
-    assert drawn == {action for group in GROUPS for action in group}
+    assert drawn == {COLD_FAULT, *(action for group in GROUPS for action in group)}
+    # The other faults of a seed do not depend on these.
+    assert all(COLD_FAULT not in {f.action for f in draw_faults(seed, 15.0, 6)}
+               for seed in (*REGRESSIONS, 4))  # fmt: skip
 
 
 def test_read_runs_counts_runs_and_lists_late_calls(tmp_path):
     path = tmp_path / "runs"
-    assert read_runs(path) == (Counter(), [])
-    path.write_text("run a\nrun b\nrun a\nlate a\n")
-    assert read_runs(path) == (Counter(a=2, b=1), ["a"])
+    assert read_runs(path) == (Counter(), [], {})
+    path.write_text("run a\nrun b\ncold b i-1 7.5\nrun a\nlate a\n")
+    assert read_runs(path) == (Counter(a=2, b=1), ["a"], {"i-1": [(7.5, "b")]})
+
+
+def test_cold_server_that_gets_too_many_calls_in_a_second_is_reported():
+    calls = [replace(ORDER, call_id=f"o{i}", sent_at=i * 0.02) for i in range(60)]
+    arrivals = {"i-1": [(each.sent_at + 0.01, each.call_id) for each in calls]}
+    (found,) = check_cold_servers(calls, arrivals)
+    assert found == "FAILBACK: i-1 got 50 calls in a second"
+    assert check_cold_servers(calls, {"i-1": arrivals["i-1"][::2]}) == []
+    # Calls that were sent before do not count, if the server read them late.
+    late = {"i-1": [(9.0, each.call_id) for each in calls]}
+    assert check_cold_servers(calls, late) == []
 
 
 @pytest.mark.parametrize("seed", REGRESSIONS)
