Write the metrics page without the Prometheus client

Cause: memory at its peak is the dearest price of some deployments, and the client loads HTTP, TLS and mail modules that a node needs for nothing else. Change: the families of the page are plain classes that write the text format; the client remains a library of the tests, which read the page with its parser. The series "_created" are no longer written.

--- a/monsoontray/metrics/service.py
+++ b/monsoontray/metrics/service.py
@@ -2,45 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from functools import lru_cache
-
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    generate_latest,
-)
-from prometheus_client.core import CounterMetricFamily
-from prometheus_client.metrics_core import Metric
-from prometheus_client.registry import Collector
-
-from monsoontray.decisions.outcomes import Ran, Reason
 from monsoontray.kernel.kernel import Kernel, Registration
+from monsoontray.metrics.families import Counter, Gauge, Histogram, Registry
 
 NAME = "metrics"
 #: Upper bounds of the buckets, doubling from the time of one hop to a long deadline.
 CALL_BUCKETS_S = tuple(0.001 * 2**i for i in range(13))
 
 
-class ResponsesCollector(Collector):
-    """Collector of responses, which are too frequent for a counter with a lock."""
-
-    def __init__(self, metrics: Metrics) -> None:
-        self._metrics = metrics
-
-    def collect(self) -> Iterable[Metric]:
-        """Return the number of complete responses."""
-        value = float(self._metrics.responses)
-        return (CounterMetricFamily("monsoontray_responses", "Whole responses", value),)
-
-
 class Metrics:
     """Counters of the node; each is written by one task."""
 
     def __init__(self, kernel: Kernel) -> None:
-        self.registry = CollectorRegistry()
+        self.registry = Registry()
         self._refusals = Counter(
             "monsoontray_refusals",
             "Calls refused, by reason and whether they may have run",
@@ -59,9 +33,11 @@
             ("reason",),
             registry=self.registry,
         )
+        self._responses = Counter(
+            "monsoontray_responses", "Whole responses", registry=self.registry
+        )
         #: Complete responses; counted by the forwarder.
         self.responses = 0
-        self.registry.register(ResponsesCollector(self))
         self._cancelled_calls = Counter(
             "monsoontray_cancelled_calls",
             "Calls whose caller had gone",
@@ -103,10 +79,6 @@
             "Log lines about calls that were left out to bound the volume",
             registry=self.registry,
         )
-        # The number of label values is limited, so all children are cached.
-        self._label_call_seconds = lru_cache(2)(self._call_seconds.labels)
-        self._label_refusals = lru_cache(len(Reason) * len(Ran))(self._refusals.labels)
-        self._label_retries = lru_cache(len(Reason))(self._retries.labels)
 
     def start(self) -> None:
         """Do nothing; the counters already exist."""
@@ -120,11 +92,11 @@
 
     def count_refusal(self, reason: str, ran: str) -> None:
         """Count a refused call."""
-        self._label_refusals(reason, ran).inc()
+        self._refusals.labels(reason, ran).inc()
 
     def count_retry(self, reason: str) -> None:
         """Count a call that is sent to another server."""
-        self._label_retries(reason).inc()
+        self._retries.labels(reason).inc()
 
     def count_cut_response(self, reason: str) -> None:
         """Count a response that ended incomplete."""
@@ -132,7 +104,7 @@
 
     def observe_call(self, side: str, seconds: float) -> None:
         """Observe the duration of a call with a complete response."""
-        self._label_call_seconds(side).observe(seconds)
+        self._call_seconds.labels(side).observe(seconds)
 
     def count_suppressed_line(self) -> None:
         """Count a log line that was suppressed."""
@@ -164,7 +136,8 @@
 
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
-        return generate_latest(self.registry)
+        self._responses.labels().set(self.responses)
+        return self.registry.render()
 
 
 def setup(kernel: Kernel) -> None:
