Serve HTTP requests of the platform from one task that owns its sockets

Cause: cheroot and what it imports took 5 MB of a node's memory and a good part of its start, ran a thread for each address and polled twice a second. Change: a task owns the listening sockets and connections and parses with the parser of calls; the same pools of threads run the handlers and answer by message. A request that can't be read gets 400, a body over the limit 413, and the connection closes. The test of the threads keeps its checks; the server is built in another way.

--- a/monsoontray/http/server.py
+++ b/monsoontray/http/server.py
@@ -1,163 +1,177 @@
-"""HTTP server for small requests, with threads that start when they are needed."""
+"""HTTP server for small requests: one task owns its sockets, threads run handlers."""
 
 from __future__ import annotations
 
-import threading
-from collections.abc import Callable
+import socket
+from collections.abc import Callable, Mapping
+from functools import singledispatch
 from http import HTTPStatus
-from queue import SimpleQueue
-from time import monotonic
 from typing import TYPE_CHECKING, Any
-from urllib.parse import parse_qsl
 
-from cheroot.server import Gateway, HTTPServer
 from msgspec import Struct
 
+from monsoontray.http.connection import (
+    ServedConnection,
+    ServerRequest,
+    ServerResponse,
+)
+from monsoontray.http.workers import Job, WorkerPool
+from monsoontray.kernel.sockets import READABLE, SocketTask
 from monsoontray.logs import logger
 
 if TYPE_CHECKING:
-    from cheroot.server import HTTPConnection
-
+    from monsoontray.kernel.kernel import Kernel
     from monsoontray.settings.settings import Address
 
-MAX_BODY_BYTES = 65_536
 SHUTDOWN_TIMEOUT_S = 0.2  # for requests in progress when the node stops
-#: Connections that wait to be accepted, and idle ones that stay open, for each server.
-#: All nodes of a zone poll one reader. Beyond the first limit the system drops the
-#: packet that opens a connection, and the caller sends it again only after seconds.
+#: Connections that wait to be accepted, and open ones. All nodes of a zone poll one
+#: reader. Beyond the first limit the system drops the packet that opens a connection,
+#: and the caller sends it again only after seconds.
 MAX_WAITING_CONNECTIONS = 1_024
-MAX_IDLE_CONNECTIONS = 1_024
+MAX_CONNECTIONS = 2_048
+ACCEPT_BATCH = 64  # connections accepted per event, at most
+
+Handler = Callable[[ServerRequest], ServerResponse]
 
 
-class ServerRequest(Struct, frozen=True):
-    """Request to an HTTP server of this node."""
+class ResponseReady(Struct, frozen=True):
+    """Message: a handler has returned the response to a connection's request."""
 
-    path: str
-    query: dict[str, str]
-    body: bytes
+    connection: ServedConnection
+    response: ServerResponse
 
 
-class ServerResponse(Struct, frozen=True):
-    """Response of an HTTP server of this node."""
+class EndpointServer(SocketTask):
+    """Task that owns the listening sockets and connections of HTTP addresses.
 
-    body: bytes = b""
-    status: HTTPStatus = HTTPStatus.OK
-    content_type: str = "application/json"
+    ``pools`` has the threads that run the handler, by address. Raise OSError if an
+    address is in use.
+    """
 
+    def __init__(
+        self,
+        name: str,
+        kernel: Kernel,
+        handler: Handler,
+        pools: Mapping[Address, WorkerPool],
+    ) -> None:
+        super().__init__(name, kernel, handle_message)
+        self._handler_function = handler
+        self._pools = pools
+        self._connections: dict[ServedConnection, None] = {}
+        self._listeners: list[EndpointListener] = []
 
-Handler = Callable[[ServerRequest], ServerResponse]
+    def start(self) -> None:
+        """Bind the addresses and start the thread."""
+        for address, pool in self._pools.items():
+            self._listeners.append(EndpointListener(address, pool, self))
+        super().start()
+
+    def get_addresses(self) -> list[Address]:
+        """Return the addresses that the server listens on."""
+        return [each.address for each in self._listeners]
+
+    def begin_stop(self, deadline: float) -> None:
+        """Close the listening sockets; wait a moment for requests in progress."""
+        for listener in self._listeners:
+            listener.close()
+        for connection in list(self._connections):
+            if not connection.is_busy:
+                connection.close()
+        self.timers.add(min(deadline, self.now + SHUTDOWN_TIMEOUT_S), self.stop_serving)
+        self._end_if_done()
+
+    def close(self) -> None:
+        """Close all connections and end the threads."""
+        for connection in list(self._connections):
+            connection.close()
+        for pool in set(self._pools.values()):
+            pool.stop()
+        super().close()
+
+    def accept(self, sock: socket.socket, pool: WorkerPool) -> None:
+        """Add a new connection; close the oldest idle one if there are too many."""
+        if len(self._connections) >= MAX_CONNECTIONS and not self._close_idle():
+            sock.close()
+            return
+        self._connections[ServedConnection(sock, pool, self)] = None
+
+    def remove(self, connection: ServedConnection) -> None:
+        """Remove a connection that was closed."""
+        self._connections.pop(connection, None)
+        if self.stop_deadline is not None:
+            self._end_if_done()
+
+    def run(self, connection: ServedConnection, request: ServerRequest) -> None:
+        """Let a thread run the handler of a request."""
+        connection.pool.put(
+            Job(
+                lambda: self._respond(request),
+                lambda response: self.post(ResponseReady(connection, response)),
+            )
+        )
 
+    def _respond(self, request: ServerRequest) -> ServerResponse:
+        try:
+            return self._handler_function(request)
+        except Exception as error:
+            logger.warning("request failed: {!r}", error)
+            return ServerResponse(status=HTTPStatus.INTERNAL_SERVER_ERROR)
+
+    def _close_idle(self) -> bool:
+        for connection in self._connections:
+            if not connection.is_busy:
+                connection.close()
+                return True
+        return False
+
+    def _end_if_done(self) -> None:
+        if not self._connections:
+            self.stop_serving()
+
+
+class EndpointListener:
+    """Listening socket of the server."""
+
+    __slots__ = ("_pool", "_server", "_sock", "address")
+
+    def __init__(
+        self, address: Address, pool: WorkerPool, server: EndpointServer
+    ) -> None:
+        self._pool = pool
+        self._server = server
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind((address.host, address.port))
+        self._sock.listen(MAX_WAITING_CONNECTIONS)
+        host, port = self._sock.getsockname()
+        self.address = type(address)(host, port)
+        server.add_socket(self._sock.fileno(), self, READABLE)
+
+    def handle_events(self, events: int) -> None:
+        """Accept the waiting connections."""
+        for _ in range(ACCEPT_BATCH):
+            try:
+                sock, _address = self._sock.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._server.accept(sock, self._pool)
 
-class WorkerPool:
-    """Threads that handle the requests of one or more servers.
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.remove_socket(self._sock.fileno())
+        self._sock.close()
 
-    A thread starts when a request arrives and all others are occupied.
-    """
 
-    __slots__ = ("_lock", "_max_threads", "_name", "_queue", "_spare", "_threads")
+@singledispatch
+def handle_message(message: Any, server: EndpointServer) -> None:
+    """Handle a message to the server."""
+    raise TypeError(f"unsupported message: {message!r}")
 
-    def __init__(self, name: str, max_threads: int) -> None:
-        self._name = name
-        self._max_threads = max_threads
-        self._queue: SimpleQueue[HTTPConnection | None] = SimpleQueue()
-        self._lock = threading.Lock()
-        self._spare = 0  # idle threads without the connections that are queued
-        self._threads: list[threading.Thread] = []
 
-    def start(self) -> None:
-        """Do nothing; threads start with the first requests."""
-
-    def put(self, connection: HTTPConnection) -> None:
-        """Queue a connection that has a request."""
-        with self._lock:
-            self._spare -= 1
-            if self._spare < 0 and len(self._threads) < self._max_threads:
-                self._spare += 1
-                name = f"{self._name}-{len(self._threads)}"
-                thread = threading.Thread(target=self._work, name=name, daemon=True)
-                self._threads.append(thread)
-                thread.start()
-        self._queue.put(connection)
-
-    def stop(self, timeout_s: float) -> None:
-        """End the threads; those that take longer end with the process."""
-        for _ in self._threads:
-            self._queue.put(None)
-        deadline = monotonic() + timeout_s
-        for thread in self._threads:
-            thread.join(max(0.0, deadline - monotonic()))
-
-    def _work(self) -> None:
-        while True:
-            connection = self._queue.get()
-            if connection is None:
-                return
-            _handle_connection(connection)
-            with self._lock:
-                self._spare += 1
-
-
-class EndpointServer(HTTPServer):
-    """HTTP server in which a connection occupies a thread only during requests."""
-
-    keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
-    request_queue_size = MAX_WAITING_CONNECTIONS
-    max_request_body_size = MAX_BODY_BYTES
-    shutdown_timeout: Any = SHUTDOWN_TIMEOUT_S
-    _connections: Any  # set by the library
-
-    def __init__(self, address: Address, handler: Handler, pool: WorkerPool) -> None:
-        super().__init__((address.host, address.port), EndpointGateway)
-        self.handler = handler
-        self.requests = pool
-
-    def process_conn(self, conn: HTTPConnection) -> None:
-        """Handle a request; for a new connection, wait until one arrives.
-
-        Otherwise callers that connect and send nothing would occupy all threads.
-        """
-        if conn.last_used is None:
-            self._connections.put(conn)
-        else:
-            super().process_conn(conn)
-
-    def error_log(self, msg: str = "", level: int = 0, traceback: bool = False) -> None:
-        """Log a failure of the library."""
-        logger.warning("HTTP server: {}", msg)
-
-
-class EndpointGateway(Gateway):
-    """Adapter from the library's requests to a handler."""
-
-    def respond(self) -> None:
-        """Handle the current request and send the response."""
-        library_request = self.req
-        query = dict(parse_qsl(library_request.qs.decode("latin-1")))
-        request = ServerRequest(
-            library_request.path.decode("latin-1"),
-            query,
-            library_request.rfile.read(MAX_BODY_BYTES),
-        )
-        response = library_request.server.handler(request)
-        status = response.status
-        library_request.status = f"{status.value} {status.phrase}".encode()
-        library_request.outheaders = [
-            (b"Content-Type", response.content_type.encode()),
-            (b"Content-Length", b"%d" % len(response.body)),
-        ]
-        library_request.ensure_headers_sent()
-        if response.body:
-            library_request.write(response.body)
-
-
-def _handle_connection(connection: HTTPConnection) -> None:
-    """Handle a request, then keep or close its connection."""
-    is_kept: Any = False
-    try:
-        is_kept = connection.communicate()
-    except Exception as error:
-        logger.warning("request failed: {!r}", error)
-    if is_kept:
-        connection.server.put_conn(connection)
-    else:
-        connection.close()
+@handle_message.register(ResponseReady)
+def _(message: ResponseReady, server: EndpointServer) -> None:
+    message.connection.send_response(message.response)
--- a/monsoontray/metrics/families.py
+++ b/monsoontray/metrics/families.py
@@ -97,7 +97,7 @@
 
     def format_labels(self, values: tuple[str, ...], *more: str) -> str:
         """Return the labels of a child in braces, or nothing without labels."""
-        pairs = zip(self._label_names, values, strict=True)
+        pairs = sorted(zip(self._label_names, values, strict=True))
         labels = [f'{name}="{value.translate(_ESCAPES)}"' for name, value in pairs]
         labels.extend(more)
         return "{" + ",".join(labels) + "}" if labels else ""
--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import threading
 from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
@@ -24,12 +23,9 @@
 )
 from monsoontray.discovery.mirror import MAX_PENDING_READS
 from monsoontray.forwarding.messages import DescribeForwarding, ForwardingState
-from monsoontray.http.server import (
-    EndpointServer,
-    ServerRequest,
-    ServerResponse,
-    WorkerPool,
-)
+from monsoontray.http.connection import ServerRequest, ServerResponse
+from monsoontray.http.server import EndpointServer
+from monsoontray.http.workers import WorkerPool
 from monsoontray.kernel.errors import KernelError
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.logs import logger
@@ -153,56 +149,19 @@
         return self._kernel.ask(service, build_message, deadline)
 
 
-class EndpointService:
-    """Service that runs the HTTP servers, one for each address."""
-
-    def __init__(self, kernel: Kernel) -> None:
-        settings: Settings = kernel.find("settings").settings
-        setting_names = (
-            "operator_address",
-            "ready_address",
-            "peer_address",
-            "metrics_address",
-        )
-        self._addresses = {
-            settings.get_bind_address(name)
-            for name in setting_names
-            if settings.get_string(name)
-        }
-        self._peer_address = settings.get_bind_address("peer_address")
-        self._clock = kernel.clock
-        self._handlers = EndpointHandlers(kernel)
-        self._servers: list[EndpointServer] = []
-
-    def start(self) -> None:
-        """Start the servers; raise OSError if an address is in use."""
-        # Reads that wait for changes must not occupy the threads for heartbeats.
-        peer_pool = WorkerPool(f"{NAME}-peers", MAX_PEER_THREADS)
-        local_pool = WorkerPool(f"{NAME}-local", MAX_LOCAL_THREADS)
-        for address in self._addresses:
-            pool = peer_pool if address == self._peer_address else local_pool
-            server = EndpointServer(address, self._handlers.handle, pool)
-            server.prepare()
-            self._servers.append(server)
-            name = f"{NAME}-{address.port}"
-            threading.Thread(target=server.serve, name=name, daemon=True).start()
-
-    def stop(self, deadline: float) -> None:
-        """Stop the servers, each of which waits for its loop to end.
-
-        A loop that has not ended by the deadline ends with the process.
-        """
-        stopping = [
-            threading.Thread(target=each.stop, daemon=True) for each in self._servers
-        ]
-        for thread in stopping:
-            thread.start()
-        for thread in stopping:
-            thread.join(max(0.0, deadline - self._clock.now()))
-
-    def post(self, message: object) -> None:
-        """Raise TypeError; the service accepts no messages."""
-        raise TypeError(f"the endpoint accepts no messages: {message!r}")
+def build_endpoint(kernel: Kernel) -> EndpointServer:
+    """Return the server of all addresses that the settings name."""
+    settings: Settings = kernel.find("settings").settings
+    # Reads that wait for changes must not occupy the threads for heartbeats.
+    peer_pool = WorkerPool(f"{NAME}-peers", MAX_PEER_THREADS)
+    local_pool = WorkerPool(f"{NAME}-local", MAX_LOCAL_THREADS)
+    pools = {
+        settings.get_bind_address(name): local_pool
+        for name in ("operator_address", "ready_address", "metrics_address")
+        if settings.get_string(name)
+    }
+    pools[settings.get_bind_address("peer_address")] = peer_pool
+    return EndpointServer(NAME, kernel, EndpointHandlers(kernel).handle, pools)
 
 
 def _decode_call(
@@ -228,4 +187,4 @@
     """Register the service."""
     requires = ("settings", "metrics", "membership", "mirror", "containment-peers",
                 "departure-keepers")  # fmt: skip
-    kernel.register(Registration(NAME, requires, EndpointService))
+    kernel.register(Registration(NAME, requires, build_endpoint))
--- a/tests/test_http/test_server.py
+++ b/tests/test_http/test_server.py
@@ -1,12 +1,16 @@
-"""The threads of the HTTP server."""
+"""The connections and threads of the HTTP server."""
 
 from __future__ import annotations
 
+import socket
 import threading
 
 from monsoontray.http.client import HttpClient, HttpRequest
-from monsoontray.http.server import EndpointServer, ServerResponse, WorkerPool
+from monsoontray.http.connection import ServerResponse
+from monsoontray.http.server import EndpointServer
+from monsoontray.http.workers import WorkerPool
 from monsoontray.kernel.clock import SystemClock
+from monsoontray.kernel.kernel import Kernel
 from monsoontray.settings.settings import Address
 
 CLOCK = SystemClock()
@@ -22,6 +26,13 @@
         threading.Event().wait(0.001)
 
 
+def start_server(handle, pool):
+    address = Address("127.0.0.1", 0)
+    server = EndpointServer("test", Kernel(CLOCK), handle, {address: pool})
+    server.start()
+    return server
+
+
 def test_threads_start_when_others_are_occupied_up_to_a_limit():
     may_continue = threading.Event()
     occupied = threading.Semaphore(0)
@@ -33,10 +44,8 @@
         return ServerResponse(request.path.encode())
 
     pool = WorkerPool("test", MAX_THREADS)
-    server = EndpointServer(Address("127.0.0.1", 0), handle, pool)
-    server.prepare()
-    threading.Thread(target=server.serve, daemon=True).start()
-    address = Address(*server.socket.getsockname()[:2])
+    server = start_server(handle, pool)
+    (address,) = server.get_addresses()
 
     def send(path):
         client, now = HttpClient(CLOCK, 1), CLOCK.now()
@@ -63,4 +72,60 @@
     for sender in senders:
         sender.join(5.0)
     assert bodies == [b"/wait"] * REQUESTS
-    server.stop()
+    server.stop(CLOCK.now() + 5.0)
+
+
+def read_responses(sock):
+    """Return all bytes until the server closes the connection."""
+    sock.settimeout(5.0)
+    received = b""
+    while part := sock.recv(65_536):
+        received += part
+    return received
+
+
+def test_requests_of_one_connection_are_answered_in_order():
+    def handle(request):
+        return ServerResponse(request.path.encode() + request.body)
+
+    server = start_server(handle, WorkerPool("test", MAX_THREADS))
+    (address,) = server.get_addresses()
+    with socket.create_connection((address.host, address.port)) as sock:
+        sock.sendall(
+            b"POST /a?x=1 HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody"
+            b"GET /b HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+        )
+        received = read_responses(sock)
+    assert received.count(b"HTTP/1.1 200 OK") == 2
+    assert received.index(b"/abody") < received.index(b"/b")
+    server.stop(CLOCK.now() + 5.0)
+
+
+def test_requests_that_cannot_be_read_are_refused_and_later_ones_answered():
+    server = start_server(lambda request: ServerResponse(), WorkerPool("test", 1))
+    (address,) = server.get_addresses()
+    refused = {
+        b"nonsense\r\n\r\n": b" 400 ",
+        b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 99999\r\n\r\n"
+        + bytes(99_999): b" 413 ",
+    }
+    for sent, status in refused.items():
+        with socket.create_connection((address.host, address.port)) as sock:
+            sock.sendall(sent)
+            assert status in sock.recv(65_536)
+    now = CLOCK.now()
+    request = HttpRequest("GET", address, "/", now + 9, now + 9)
+    assert HttpClient(CLOCK, 1).send(request).status == 200
+    server.stop(CLOCK.now() + 5.0)
+
+
+def test_handler_that_raises_is_answered_with_an_error():
+    def handle(request):
+        raise ValueError(request.path)
+
+    server = start_server(handle, WorkerPool("test", 1))
+    (address,) = server.get_addresses()
+    now = CLOCK.now()
+    request = HttpRequest("GET", address, "/", now + 9, now + 9)
+    assert HttpClient(CLOCK, 1).send(request).status == 500
+    server.stop(CLOCK.now() + 5.0)
