Identify requests by customers' keys, and stop taking them in time

Configurations with customers were read without them, and every request was forwarded with its key. Where a configuration has customers, a request on a route that is not public needs a key that stands; the server gets the customer's name as the node found it, and never the key. Keys are kept by digest.

With key_withdrawal_s, a node takes keys only as long as a read of the store, its own or another node's, proved not too long ago that its configuration is the newest. Proofs carry the moment before the read was asked for, by the clock that counts suspension, and travel in the answers by which nodes read the store through each other.

--- a/monsoontray/decisions/outcomes.py
+++ b/monsoontray/decisions/outcomes.py
@@ -31,6 +31,7 @@
     NO_CREDENTIALS = "no-credentials"
     UNKNOWN_CUSTOMER = "unknown-customer"
     NOT_IN_PLAN = "not-in-plan"
+    KEYS_UNPROVEN = "keys-unproven"  # keys may have been withdrawn meanwhile
     NO_SERVER = "no-server"
     NO_SLOT = "no-slot"
     SLOTS_BUSY = "slots-busy"  # and the call must not be queued
--- a/monsoontray/decisions/routing.py
+++ b/monsoontray/decisions/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from monsoontray.decisions.keys import KeyIndex
 from monsoontray.routing.model import HostRoute, RouteSet, ServicePolicy
 
 
@@ -13,11 +14,15 @@
         "_current_weights",
         "_longest_prefix",
         "_policies",
+        "keys",
         "routes",
     )
 
     def __init__(self, routes: RouteSet) -> None:
         self.routes = routes
+        customers = routes.customers
+        #: Keys of the customers; None if requests need no keys.
+        self.keys = None if customers is None else KeyIndex(customers)
         self._policies = {policy.name: policy for policy in routes.services}
         self._current_weights: dict[str, list[float]] = {}
         self._by_host: dict[str, dict[str, HostRoute]] = {}
--- a/monsoontray/discovery/encoding.py
+++ b/monsoontray/discovery/encoding.py
@@ -51,6 +51,8 @@
     is_complete: bool = False  # if so, keys that are not in ``records`` do not exist
     records: tuple[MirrorRecord, ...] = ()
     removed: tuple[tuple[str, Revision], ...] = ()  # keys and revisions
+    proof_lead_s: float | None = None  # from when the request was received
+    proof_revision: Revision = 0
 
 
 DepartureList = Annotated[
--- a/monsoontray/discovery/messages.py
+++ b/monsoontray/discovery/messages.py
@@ -6,6 +6,7 @@
 
 from monsoontray.decisions.announcements import Announcement, Departure
 from monsoontray.decisions.directory import ListedNode
+from monsoontray.decisions.freshness import Proof
 from monsoontray.kernel.mailbox import Reply
 from monsoontray.store.outcomes import Record
 
@@ -25,6 +26,12 @@
     revision: int  # of the store; all changes up to it have been reported
 
 
+class StoreProven(Struct, frozen=True):
+    """Report that all changes of the store up to a moment have been reported."""
+
+    proof: Proof
+
+
 class ServerAnnounced(Struct, frozen=True):
     """Report an announcement of the local server; answered once it is applied."""
 
@@ -95,6 +102,7 @@
     known_revision: int
     deadline: float  # when an answer is due even without changes
     reply: Reply
+    received_at: float | None = None  # no proof is given if this is not known
 
 
 class StoreAccessChanged(Struct, frozen=True):
--- a/monsoontray/discovery/mirror.py
+++ b/monsoontray/discovery/mirror.py
@@ -6,13 +6,17 @@
 from functools import singledispatch
 from typing import Any
 
+from msgspec.structs import replace
+
 from monsoontray.decisions.deltas import Delta, build_delta
+from monsoontray.decisions.freshness import Proof, compute_lead
 from monsoontray.discovery.encoding import DELTA_MIN_BYTES, MirrorRecord, MirrorResponse
 from monsoontray.discovery.messages import (
     ReadMirror,
     StoreAccessChanged,
     StoreChanged,
     StoreListed,
+    StoreProven,
 )
 from monsoontray.kernel.kernel import CrashPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
@@ -39,6 +43,7 @@
         self._revision = 0
         self._removals_known_since = 0  # all removals after this revision are known
         self._reads_store = False
+        self._proof: Proof | None = None
         self._pending_reads: list[ReadMirror] = []
 
     def find_next_deadline(self) -> float | None:
@@ -83,6 +88,11 @@
                 self._remove_record(record.key, record.revision)
         self._finish_update(message.revision)
 
+    def set_proof(self, proof: Proof) -> None:
+        """Record that the copy has all changes up to a moment."""
+        if self._is_listed:
+            self._proof = proof
+
     def set_reads_store(self, reads_store: bool) -> None:
         """Update whether this node reads the store itself.
 
@@ -97,7 +107,7 @@
         """Answer a request, or keep it until there are changes to report."""
         has_update = self._revision > request.known_revision or not self._reads_store
         if has_update or len(self._pending_reads) >= MAX_PENDING_READS:
-            request.reply.put(self.build_response(request.known_revision))
+            self._reply(request)
         else:
             self._pending_reads.append(request)
 
@@ -185,7 +195,19 @@
             request for request in self._pending_reads if request not in answered
         ]
         for request in answered:
-            request.reply.put(self.build_response(request.known_revision))
+            self._reply(request)
+
+    def _reply(self, request: ReadMirror) -> None:
+        """Answer a request, with the proof that the answer has all changes."""
+        response = self.build_response(request.known_revision)
+        proof = self._proof
+        if proof is not None and request.received_at is not None:
+            response = replace(
+                response,
+                proof_lead_s=compute_lead(proof, request.received_at),
+                proof_revision=proof.revision,
+            )
+        request.reply.put(response)
 
 
 @singledispatch
@@ -204,6 +226,11 @@
     mirror.apply_changes(message)
 
 
+@handle_message.register(StoreProven)
+def _(message: StoreProven, mirror: Mirror) -> None:
+    mirror.set_proof(message.proof)
+
+
 @handle_message.register(StoreAccessChanged)
 def _(message: StoreAccessChanged, mirror: Mirror) -> None:
     mirror.set_reads_store(message.reads_store)
--- a/monsoontray/discovery/mirror_client.py
+++ b/monsoontray/discovery/mirror_client.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from monsoontray.decisions.deltas import apply_delta
+from monsoontray.decisions.freshness import Proof, adopt_proof
 from monsoontray.decoding.errors import DecodingError
 from monsoontray.discovery.encoding import (
     DELTA_MIN_BYTES,
@@ -51,6 +52,7 @@
     is_complete: bool  # if so, keys that are not in ``records`` do not exist
     records: tuple[Record, ...]
     removed: tuple[Record, ...]
+    proof: Proof | None = None  # of the node's copy, by the clock of this node
 
 
 class MirrorClient:
@@ -99,6 +101,7 @@
     def _read_peer(
         self, node: ListedNode, known_revision: int, wait_s: float
     ) -> PeerUpdate | None:
+        asked_at = self._kernel.clock.now()
         response = self._fetch(node, known_revision, wait_s)
         if response is None:
             return None
@@ -107,16 +110,22 @@
             logger.bind(peer=node.node).info(
                 "deltas of a peer do not apply: requesting a complete response"
             )
+            asked_at = self._kernel.clock.now()
             response = self._fetch(node, NO_REVISION, 0.0)
             if response is None:
                 return None
             records = [self._decode_record(each) for each in response.records]
+        lead_s = response.proof_lead_s
+        proof = None
+        if lead_s is not None:
+            proof = adopt_proof(asked_at, lead_s, response.proof_revision)
         return PeerUpdate(
             response.revision,
             response.reads_store,
             response.is_complete,
             tuple(record for record in records if record is not None),
             tuple(Record(key, revision, b"") for key, revision in response.removed),
+            proof,
         )
 
     def _decode_record(self, encoded: MirrorRecord) -> Record | None:
--- a/monsoontray/discovery/watch.py
+++ b/monsoontray/discovery/watch.py
@@ -10,6 +10,7 @@
 
 from monsoontray.containment.encoding import PREFIX as CONTAINMENT_PREFIX
 from monsoontray.decisions.backoff import compute_retry_time
+from monsoontray.decisions.freshness import Proof
 from monsoontray.decisions.sources import StoreAccess
 from monsoontray.discovery.encoding import (
     DEPARTURES_KEY_PREFIX,
@@ -23,6 +24,7 @@
     StoreListed,
 )
 from monsoontray.discovery.mirror_client import MirrorClient, PeerUpdate
+from monsoontray.discovery.proofs import ProofReporter
 from monsoontray.kernel.errors import KernelError
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.kernel.messages import Stop
@@ -89,6 +91,7 @@
         self._wait_s = settings.get_seconds("watch_wait_ms")
         self._random = Random(settings.get_string("node"))
         self._mirror_client = MirrorClient(kernel, self._random)
+        self._proofs = ProofReporter(kernel)
         self._failures = 0
         self._newest_revision = 0  # highest revision read so far
         self._revision: int | None = None  # None until the next listing
@@ -139,6 +142,7 @@
         self._handle_success()
         self._set_reads_store(True)
         self._post_listing(outcome.records, outcome.revision)
+        self._report_proof(Proof(started_at, outcome.revision))
         return self.clock.now()
 
     def _post_listing(self, records: tuple[Record, ...], revision: int) -> None:
@@ -175,9 +179,16 @@
             logger.bind(for_s=EXCLUSION_S).info("no reader has news: reading the store")
             return now
         source = usable[0]
-        update = self._mirror_client.poll_reader(source, known_revision, POLL_WAIT_S)
+        wait_s = 0.0 if self._proofs.must_hurry() else POLL_WAIT_S
+        update = self._mirror_client.poll_reader(source, known_revision, wait_s)
+        reads_store = update is not None and update.reads_store
+        has_changes = update is not None and update.revision > known_revision
+        if update is not None and reads_store:
+            if has_changes:
+                self._apply_update(update)
+            self._report_proof(update.proof)
         now = self.clock.now()
-        if update is None or not update.reads_store:
+        if not reads_store or self._proofs.is_overdue():
             self._readers_tried += 1
             self._excluded_until[source.node] = now + EXCLUSION_S
             logger.bind(reader=source.node, answered=update is not None).info(
@@ -187,10 +198,11 @@
         self._readers_tried = 0
         self._failures = 0
         self._mark_current()
-        if update.revision <= known_revision:
-            return now + POLL_PAUSE_S
-        self._apply_update(update)
-        return now + self._choose_batch_pause(now)
+        pause_s = self._choose_batch_pause(now) if has_changes else POLL_PAUSE_S
+        return now + pause_s
+
+    def _report_proof(self, proof: Proof | None) -> None:
+        self._proofs.report(proof, self._newest_revision)
 
     def _apply_update(self, update: PeerUpdate) -> None:
         """Post an update that was read through another node."""
@@ -214,6 +226,7 @@
         wait_s = OUTAGE_WAIT_S if is_short else self._wait_s
         if access.for_others:
             wait_s = min(wait_s, READER_WAIT_S)
+        wait_s = self._proofs.limit_wait(wait_s)
         started_at = self.clock.now()
         outcome = self._client.watch_prefix(ALL_KEYS, revision, wait_s)
         if isinstance(outcome, NotDone):
@@ -230,6 +243,7 @@
         self._revision = outcome.revision
         self._newest_revision = max(self._newest_revision, outcome.revision)
         self._post_changes(outcome)
+        self._report_proof(Proof(started_at, outcome.revision))
         has_changes = outcome.records or outcome.removed
         now = self.clock.now()
         return now + self._choose_batch_pause(now) if has_changes else now
@@ -286,6 +300,8 @@
         if newest is not None and newest.revision > self._newest_revision:
             logger.bind(revision=newest.revision).info("read the store through a peer")
             self._apply_update(newest)
+        for update in updates:
+            self._report_proof(update.proof)
         if any(update.reads_store for update in updates):
             self._replay_until = self.clock.now() + MAX_REPLAY_S
 
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -169,7 +169,16 @@
         self._slot_granted_at = self.now
 
     def send_to(self, hop: Hop) -> None:
-        """Send the request over a connection to a guard or a back end."""
+        """Send the request over a connection to a guard or a back end.
+
+        The key of a call that has waited may have been withdrawn meanwhile.
+        """
+        route = self.route
+        if isinstance(route, EntryRoute) and route.key_digest:
+            refusal = self.forwarder.check_key(route.key_digest)
+            if refusal is not None:
+                self.refuse(refusal)
+                return
         try:
             self.request.start(self, hop)
         except OSError:
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -15,7 +15,10 @@
 from monsoontray.containment.messages import UpdateContainment
 from monsoontray.decisions.admission import NO_ENTITLEMENTS
 from monsoontray.decisions.budget import RetryBudgets
+from monsoontray.decisions.freshness import Freshness
+from monsoontray.decisions.keys import check_key
 from monsoontray.decisions.outcomes import Reason, Refusal, refuse_not_run
+from monsoontray.decisions.retries import compute_unready_retry
 from monsoontray.decisions.servers import (
     Endpoint,
     LoadView,
@@ -36,6 +39,7 @@
     DescribeForwarding,
     ForwardingState,
     NodeLeaving,
+    RoutesProven,
     UpdateEntitlements,
     UpdateEvacuatedZones,
     UpdateLocalServers,
@@ -94,6 +98,7 @@
         self.http_profile = self._interface.http_profile
         self.entitlements = NO_ENTITLEMENTS
         self.route_table: RouteTable | None = None
+        self.freshness = Freshness(settings.get_float("key_withdrawal_s"))
         self.servers = ServerTable()
         self.loads = LoadView()
         self.guards = LocalGuards(self, self._interface)
@@ -196,6 +201,12 @@
         self._calls.discard(call)
         self._end_if_done()
 
+    def check_key(self, digest: bytes) -> Refusal | None:
+        """Return a refusal if a call's key must not be used any more."""
+        keys = None if self.route_table is None else self.route_table.keys
+        is_fresh = self.freshness.is_fresh(self.now)
+        return check_key(keys, digest, is_fresh, compute_unready_retry(self.random))
+
     def find_calls_at(self, guard: GuardState) -> list[Call]:
         """Return the calls that hold a slot of a local server."""
         return [call for call in self._calls if call.guard is guard]
@@ -229,6 +240,7 @@
         """Apply changed limits; changed addresses need a restart."""
         self._interface = build_interface(settings)
         self.limits = read_limits(settings)
+        self.freshness.set_bound(settings.get_float("key_withdrawal_s"))
         self.guards.update_interface(self._interface)
         self.budgets.set_bounds(self._interface.bounds)
         if self.route_table is not None:
@@ -353,6 +365,11 @@
     forwarder.update_routes(message.table)
 
 
+@handle_message.register(RoutesProven)
+def _(message: RoutesProven, forwarder: Forwarder) -> None:
+    forwarder.freshness.prove(message.proof)
+
+
 @handle_message.register(UpdateEvacuatedZones)
 def _(message: UpdateEvacuatedZones, forwarder: Forwarder) -> None:
     forwarder.update_evacuated_zones(message.zones)
--- a/monsoontray/forwarding/heads.py
+++ b/monsoontray/forwarding/heads.py
@@ -78,6 +78,7 @@
 LAST_CHUNK = b"0\r\n\r\n"
 CONNECTION_CLOSE_HEADER = b"connection: close\r\n"
 NODE_HEADER_PREFIX = b"monsoontray-"
+AUTHORIZATION = b"authorization"
 
 _FRAMING_HEADERS = {
     Framing.EMPTY: b"\r\n",
@@ -94,6 +95,15 @@
     return b"".join((name, b": ", value, b"\r\n"))
 
 
+def take_values(head: RequestHead, name: bytes) -> list[bytes]:
+    """Remove the headers with a name, in lower case, and return their values."""
+    prefix = name + b": "
+    taken = [line for line in head.lines if line.startswith(prefix)]
+    if taken:
+        head.lines = [line for line in head.lines if not line.startswith(prefix)]
+    return [line[len(prefix) : -len(b"\r\n")] for line in taken]
+
+
 def encode_request(
     method: str, target: bytes, lines: list[bytes], framing: Framing, length: int
 ) -> bytes:
--- a/monsoontray/forwarding/http_profile.py
+++ b/monsoontray/forwarding/http_profile.py
@@ -16,6 +16,7 @@
     call_id: bytes
     timeout_ms: bytes  # how long the sender of the request waits for the response
     caller_service: bytes = b""  # the service that made the call
+    customer: bytes = b""  # the customer whose key the request has
     expected_server: bytes = b""  # the only server that may run the request
     server: bytes = b""  # the server that sent the response
     not_executed: bytes = b""  # in a response: the server did not run the request
--- a/monsoontray/forwarding/messages.py
+++ b/monsoontray/forwarding/messages.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from monsoontray.decisions.admission import Entitlements
+from monsoontray.decisions.freshness import Proof
 from monsoontray.decisions.routing import RouteTable
 from monsoontray.decisions.servers import ServerRecord, ServerTable
 from monsoontray.kernel.mailbox import Reply
@@ -23,6 +24,12 @@
     table: RouteTable
 
 
+class RoutesProven(Struct, frozen=True):
+    """Report that the configuration in force was the newest at a moment."""
+
+    proof: Proof
+
+
 class UpdateEvacuatedZones(Struct, frozen=True):
     """Replace the set of evacuated zones, whose servers get no calls."""
 
--- a/monsoontray/forwarding/routes.py
+++ b/monsoontray/forwarding/routes.py
@@ -35,6 +35,7 @@
     deadline: float
     objective: float = math.inf  # latest time of a response that meets the objective
     max_body_bytes: int = MAX_INT64
+    key_digest: bytes = b""  # of the key that the customer was identified by
 
 
 class GuardRoute(Struct, frozen=True):
--- a/monsoontray/forwarding/sides.py
+++ b/monsoontray/forwarding/sides.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from monsoontray.decisions.admission import admit_call
+from monsoontray.decisions.keys import UNIDENTIFIED, Identified, identify_customer
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.paths import normalize_target
 from monsoontray.decisions.retries import (
@@ -18,10 +19,12 @@
 from monsoontray.decoding.documents import decode_digits
 from monsoontray.decoding.values import MAX_INT64
 from monsoontray.forwarding.heads import (
+    AUTHORIZATION,
     NO_EXTRA_HEADERS,
     ExtraHeaders,
     RequestHead,
     encode_header,
+    take_values,
 )
 from monsoontray.forwarding.http_profile import OWN_PROFILE, HttpProfile
 from monsoontray.forwarding.routes import (
@@ -43,8 +46,11 @@
     from random import Random
 
     from monsoontray.decisions.admission import Entitlements
+    from monsoontray.decisions.freshness import Freshness
     from monsoontray.decisions.routing import RouteTable
     from monsoontray.forwarding.limits import Limits
+    from monsoontray.kernel.clock import Clock
+    from monsoontray.routing.model import HostRoute
 
 MAX_TIMEOUT_MS = 3_600_000
 MAX_PRIORITY = 1_000_000
@@ -59,6 +65,8 @@
     limits: Limits
     entitlements: Entitlements
     route_table: RouteTable | None
+    freshness: Freshness
+    clock: Clock
 
     @property
     def guards(self) -> Container[str]:
@@ -139,6 +147,10 @@
     route = table.find_route(head.host, head.target.decode("latin-1"))
     if route is None:
         return refuse_not_run(Reason.NO_ROUTE)
+    identified = _identify(side, head, route, table, context)
+    if isinstance(identified, Refusal):
+        return identified
+    customer = identified.customer
     http_profile = side.http_profile
     timeout_s = _read_timeout(head, http_profile.timeout_ms, route.timeout_s)
     # The parser removed this header from the request, because a caller could set a
@@ -148,17 +160,46 @@
     return EntryRoute(
         service=table.choose_service(route),
         resource="",
-        customer="",
+        customer=customer.name,
         name=route.name,
-        priority=route.priority,
+        priority=route.priority if customer.priority is None else customer.priority,
         idempotent=route.idempotent,
         max_attempts=route.max_attempts,
         deadline=context.now + min(timeout_s, route.timeout_s),
         objective=context.now + route.objective_s,
         max_body_bytes=table.routes.limits.body_bytes,
+        key_digest=identified.key_digest,
     )
 
 
+def _identify(
+    side: MeshEntrySide,
+    head: RequestHead,
+    route: HostRoute,
+    table: RouteTable,
+    context: RoutingContext,
+) -> Identified | Refusal:
+    """Return the customer of a request, and let the request name it.
+
+    What the caller sent for the key and the customer is removed.
+    """
+    if table.keys is None:
+        return UNIDENTIFIED
+    customer_header = side.http_profile.customer
+    credentials = take_values(head, AUTHORIZATION)
+    take_values(head, customer_header)
+    # The process may have been frozen since the event began. Only what was received
+    # before the clock is read was certainly sent before that moment.
+    is_fresh = context.freshness.is_fresh(context.clock.now())
+    retry_s = compute_unready_retry(context.random)
+    identified = identify_customer(table.keys, credentials, is_fresh, retry_s)
+    if isinstance(identified, Refusal):
+        return UNIDENTIFIED if route.public else identified
+    name = identified.customer.name.encode("latin-1")
+    head.lines.append(encode_header(customer_header, name))
+    return identified
+
+
 @find_route.register(GuardSide)
 def _(
     side: GuardSide, head: RequestHead, context: RoutingContext
--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import threading
 from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
@@ -24,12 +23,8 @@
 )
 from monsoontray.discovery.mirror import MAX_PENDING_READS
 from monsoontray.forwarding.messages import DescribeForwarding, ForwardingState
-from monsoontray.http.server import (
-    EndpointServer,
-    ServerRequest,
-    ServerResponse,
-    WorkerPool,
-)
+from monsoontray.http.group import ServerGroup
+from monsoontray.http.server import ServerRequest, ServerResponse, WorkerPool
 from monsoontray.kernel.errors import KernelError
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.logs import logger
@@ -121,10 +116,11 @@
         revision = decode_digits(known, MAX_INT64)
         known_revision = NO_REVISION if revision is None else revision
         wait_ms = decode_digits(wait, MAX_MIRROR_WAIT_MS) or 0
-        wait_deadline = self._kernel.clock.now() + wait_ms / MS_PER_S
+        received_at = self._kernel.clock.now()
+        wait_deadline = received_at + wait_ms / MS_PER_S
         response: MirrorResponse = self._kernel.ask(
             "mirror",
-            lambda reply: ReadMirror(known_revision, wait_deadline, reply),
+            lambda reply: ReadMirror(known_revision, wait_deadline, reply, received_at),
             wait_deadline + ASK_TIMEOUT_S,
         )
         content_type = "application/octet-stream"
@@ -153,10 +149,11 @@
         return self._kernel.ask(service, build_message, deadline)
 
 
-class EndpointService:
+class EndpointService(ServerGroup):
     """Service that runs the HTTP servers, one for each address."""
 
     def __init__(self, kernel: Kernel) -> None:
+        super().__init__(NAME, EndpointHandlers(kernel).handle, kernel.clock)
         settings: Settings = kernel.find("settings").settings
         setting_names = (
             "operator_address",
@@ -170,9 +167,6 @@
             if settings.get_string(name)
         }
         self._peer_address = settings.get_bind_address("peer_address")
-        self._clock = kernel.clock
-        self._handlers = EndpointHandlers(kernel)
-        self._servers: list[EndpointServer] = []
 
     def start(self) -> None:
         """Start the servers; raise OSError if an address is in use."""
@@ -181,24 +175,7 @@
         local_pool = WorkerPool(f"{NAME}-local", MAX_LOCAL_THREADS)
         for address in self._addresses:
             pool = peer_pool if address == self._peer_address else local_pool
-            server = EndpointServer(address, self._handlers.handle, pool)
-            server.prepare()
-            self._servers.append(server)
-            name = f"{NAME}-{address.port}"
-            threading.Thread(target=server.serve, name=name, daemon=True).start()
-
-    def stop(self, deadline: float) -> None:
-        """Stop the servers, each of which waits for its loop to end.
-
-        A loop that has not ended by the deadline ends with the process.
-        """
-        stopping = [
-            threading.Thread(target=each.stop, daemon=True) for each in self._servers
-        ]
-        for thread in stopping:
-            thread.start()
-        for thread in stopping:
-            thread.join(max(0.0, deadline - self._clock.now()))
+            self.start_server(address, pool)
 
     def post(self, message: object) -> None:
         """Raise TypeError; the service accepts no messages."""
--- a/monsoontray/platform/headers.py
+++ b/monsoontray/platform/headers.py
@@ -10,6 +10,7 @@
     call_id=b"x-request-id",
     timeout_ms=b"x-deadline-ms",  # remaining time, not a point in time
     caller_service=b"x-caller-service",
+    customer=b"x-tenant-id",
     expected_server=b"x-expect-instance",
     server=b"x-instance-id",
     not_executed=b"x-not-executed",
--- a/monsoontray/platform/operator.py
+++ b/monsoontray/platform/operator.py
@@ -12,8 +12,12 @@
 from monsoontray.decoding.errors import DecodingError
 from monsoontray.decoding.refusals import EntryRefusals
 from monsoontray.decoding.values import Label, Name, Seconds
-from monsoontray.discovery.messages import StoreChanged, StoreListed
-from monsoontray.forwarding.messages import UpdateEvacuatedZones, UpdateRoutes
+from monsoontray.discovery.messages import StoreChanged, StoreListed, StoreProven
+from monsoontray.forwarding.messages import (
+    RoutesProven,
+    UpdateEvacuatedZones,
+    UpdateRoutes,
+)
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.kernel.task import Task
 from monsoontray.logs import logger
@@ -95,7 +99,11 @@
         self.kernel.post("forwarding", UpdateRoutes(RouteTable(routes)))
         self.kernel.find("metrics").set_version(routes.number)
         logger.bind(
-            version=routes.number, revision=record.revision, routes=len(routes.routes)
+            version=routes.number,
+            revision=record.revision,
+            routes=len(routes.routes),
+            public_routes=sum(route.public for route in routes.routes),
+            customers=None if routes.customers is None else len(routes.customers),
         ).info("configuration in force")
 
     def _apply_rollout_order(self, record: Record) -> None:
@@ -138,6 +146,12 @@
     orders.handle_changes(message)
 
 
+@handle_message.register(StoreProven)
+def _(message: StoreProven, orders: OperatorOrders) -> None:
+    # The orders that the proof covers were posted before.
+    orders.kernel.post("forwarding", RoutesProven(message.proof))
+
+
 def setup(kernel: Kernel) -> None:
     """Register the service."""
     kernel.register(
--- a/monsoontray/platform/routes.py
+++ b/monsoontray/platform/routes.py
@@ -6,9 +6,18 @@
 
 import msgspec
 
+from monsoontray.decoding.customers import build_customers
 from monsoontray.decoding.documents import decode_json
 from monsoontray.decoding.errors import DecodingError
-from monsoontray.decoding.values import Bytes, Count, Label, Name, Rate, Seconds
+from monsoontray.decoding.values import (
+    Bytes,
+    Count,
+    Label,
+    Name,
+    Rate,
+    Seconds,
+    Token,
+)
 from monsoontray.routing.model import (
     CallerLimits,
     HostRoute,
@@ -42,6 +51,7 @@
     max_attempts: Count
     service: Label = ""  # empty if the route is split
     split: tuple[ShareSchema, ...] = ()
+    public: bool = False
 
 
 class ServiceSchema(msgspec.Struct, frozen=True):
@@ -63,6 +73,14 @@
     idle_timeout_s: Seconds
 
 
+class TenantSchema(msgspec.Struct, frozen=True):
+    """JSON schema of a tenant, which is a customer with keys."""
+
+    name: Token
+    api_keys: tuple[Token, ...]
+    priority: Count | None = None
+
+
 class ConfigurationSchema(msgspec.Struct, frozen=True):
     """JSON schema of a configuration."""
 
@@ -70,6 +88,7 @@
     routes: tuple[RouteSchema, ...]
     services: tuple[ServiceSchema, ...]
     limits: LimitsSchema
+    tenants: tuple[TenantSchema, ...] | None = None
 
 
 def decode_routes(value: bytes) -> RouteSet:
@@ -83,7 +102,11 @@
                 raise DecodingError(
                     f"route {route.name!r} refers to unknown service {share.service!r}"
                 )
-    limits = document.limits
+    limits, customers = document.limits, None
+    if document.tenants is not None:
+        customers = build_customers(
+            (each.name, each.api_keys, each.priority) for each in document.tenants
+        )
     return RouteSet(
         number=int(document.version, _HEXADECIMAL_BASE),
         routes=routes,
@@ -103,6 +126,7 @@
             limits.header_timeout_s,
             limits.idle_timeout_s,
         ),
+        customers=customers,
     )
 
 
@@ -122,4 +146,5 @@
         objective_s=route.target_latency_s,
         max_attempts=max(1, route.max_attempts),
         priority=route.priority,
+        public=route.public,
     )
--- a/monsoontray/routing/model.py
+++ b/monsoontray/routing/model.py
@@ -24,6 +24,15 @@
     objective_s: float  # time within which a response counts as on time
     max_attempts: int  # largest number of backend servers that get a request
     priority: int  # 0 is served first
+    public: bool = False  # whether requests need no key
+
+
+class KeyHolder(Struct, frozen=True):
+    """Customer of a mesh, with the digests of the keys that identify its requests."""
+
+    name: str
+    key_digests: tuple[bytes, ...]
+    priority: int | None = None  # replaces that of the route, if given
 
 
 class ServicePolicy(Struct, frozen=True):
@@ -52,3 +61,4 @@
     routes: tuple[HostRoute, ...]
     services: tuple[ServicePolicy, ...]
     limits: CallerLimits
+    customers: tuple[KeyHolder, ...] | None = None  # None: requests need no keys
--- a/monsoontray/settings/declarations.py
+++ b/monsoontray/settings/declarations.py
@@ -174,6 +174,17 @@
         minimum=0,
         maximum=600,
     ),
+    Declaration(
+        "key_withdrawal_s",
+        float,
+        "Time after which no node takes a key that was withdrawn. A node that cannot "
+        "prove for nearly as long that its configuration is the newest takes no keys; "
+        "0: it takes them for as long as its configuration has them.",
+        default=0.0,
+        unit="s",
+        minimum=0,
+        maximum=86_400,
+    ),
     Declaration(
         "containment_ms",
         int,
