--- a/bench/standins/mesh.py
+++ b/bench/standins/mesh.py
@@ -131,6 +131,8 @@
     runs: Counter[str] = field(default_factory=Counter)  # by request id
     arrivals: list[float] = field(default_factory=list)
     callers: Counter[str] = field(default_factory=Counter)
+    customers: dict[str, list[str]] = field(default_factory=dict)  # by request id
+    keys: int = 0  # requests that a key was passed on with
     deadlines_ms: list[int] = field(default_factory=list)
     cancelled: int = 0
     misdirected: int = 0
@@ -254,6 +256,8 @@
             self._record_event("late", call_id)
         self.observed.runs[call_id] += 1
         self.observed.callers[headers.get("X-Caller-Service", "")] += 1
+        self.observed.customers[call_id] = headers.getall("X-Tenant-Id", [])
+        self.observed.keys += "Authorization" in headers
         self.observed.deadlines_ms.append(int(headers.get("X-Deadline-Ms", 0)))
         try:
             await asyncio.sleep(behaviour.service_ms / MS_PER_S)
--- a/monsoontray/discovery/proofs.py
+++ b/monsoontray/discovery/proofs.py
@@ -9,9 +9,11 @@
 
 from monsoontray.decisions.freshness import Freshness, Proof
 from monsoontray.discovery.messages import StoreProven
+from monsoontray.logs import logger
 
 if TYPE_CHECKING:
     from monsoontray.kernel.kernel import Kernel
+    from monsoontray.metrics.service import Metrics
     from monsoontray.settings.settings import Settings
 
 SUBSCRIBERS = ("mirror", "operator")
@@ -26,10 +28,11 @@
     It does nothing where withdrawn keys may be taken without limit.
     """
 
-    __slots__ = ("_bound_s", "_freshness", "_kernel")
+    __slots__ = ("_bound_s", "_freshness", "_kernel", "_metrics")
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
+        self._metrics: Metrics = kernel.find("metrics")
         settings: Settings = kernel.find("settings").settings
         self._bound_s = settings.get_float("key_withdrawal_s")
         self._freshness = Freshness(self._bound_s)
@@ -52,6 +55,12 @@
         """Post a proof whose changes were posted, if it is needed and valid."""
         if proof is None or not self._freshness.is_bounded:
             return
+        was_fresh = self._freshness.is_fresh(self._kernel.clock.now())
         if self._freshness.prove(proof, newest_revision):
+            self._metrics.count_proof()
+            if not was_fresh:
+                logger.bind(revision=proof.revision).info(
+                    "configuration is proven to be the newest"
+                )
             for service in SUBSCRIBERS:
                 self._kernel.post(service, StoreProven(proof))
--- a/monsoontray/discovery/watch.py
+++ b/monsoontray/discovery/watch.py
@@ -337,6 +337,6 @@
 
 def setup(kernel: Kernel) -> None:
     """Register the service."""
-    requires = ("settings", "store", "operator", "membership", "rollouts",
+    requires = ("settings", "metrics", "store", "operator", "membership", "rollouts",
                 "mirror", "containment")  # fmt: skip
     kernel.register(Registration(NAME, requires, StoreWatch))
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -280,6 +280,7 @@
             stopping=self.stopping,
             servers=self.servers.count(),
             contained=self.containment.count_contained(),
+            fresh=self.freshness.is_fresh(self.now),
         )
 
     def update_servers(self, servers: ServerTable) -> None:
--- a/monsoontray/forwarding/messages.py
+++ b/monsoontray/forwarding/messages.py
@@ -90,3 +90,4 @@
     stopping: bool = False
     servers: int = 0  # servers of all services that may be called
     contained: int = 0  # requests that are refused because servers ended with them
+    fresh: bool = True  # whether the configuration may be relied on for keys
--- a/monsoontray/metrics/service.py
+++ b/monsoontray/metrics/service.py
@@ -78,6 +78,11 @@
             ("kind",),
             registry=self.registry,
         )
+        self._proofs = Counter(
+            "monsoontray_proofs",
+            "Reads that proved that the configuration was the newest",
+            registry=self.registry,
+        )
         self._server_ends = Counter(
             "monsoontray_server_ends",
             "Ends of local servers that were running requests",
@@ -150,6 +155,10 @@
         """Count an entry of another party that was refused."""
         self._refused_entries.labels(kind).inc()
 
+    def count_proof(self) -> None:
+        """Count a proof that the configuration was the newest."""
+        self._proofs.inc()
+
     def count_server_end(self) -> None:
         """Count the end of a local server that was running requests."""
         self._server_ends.inc()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -165,6 +165,9 @@
     def count_refused_entry(self, kind):
         self.posted["metrics"].append(kind)
 
+    def count_proof(self):
+        self.posted["metrics"].append("proof")
+
     def set_version(self, number):
         self.posted["metrics"].append(number)
 
--- a/tests/test_platform/test_routes.py
+++ b/tests/test_platform/test_routes.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from monsoontray.decoding.errors import DecodingError
 from monsoontray.platform.routes import decode_routes
 from monsoontray.routing.model import Share
 
@@ -84,3 +85,44 @@
 def test_content_that_is_not_a_configuration_is_rejected(value):
     with pytest.raises((msgspec.DecodeError, ValueError)):
         decode_routes(value)
+
+
+TENANT = {"name": "huka270", "api_keys": ["key-1", "key-2"], "priority": 1}
+
+
+def test_configuration_without_tenants_needs_no_keys():
+    routes = decode([ROUTE])
+    assert routes.customers is None
+    assert not routes.routes[0].public
+
+
+def test_tenants_are_customers_whose_keys_are_kept_as_digests():
+    other = {"name": "puhu251", "api_keys": []}
+    routes = decode([{**ROUTE, "public": True}], tenants=[TENANT, other])
+    assert routes.routes[0].public
+    first, second = routes.customers
+    assert (first.name, first.priority, len(first.key_digests)) == ("huka270", 1, 2)
+    assert (second.name, second.priority, second.key_digests) == ("puhu251", None, ())
+    assert "key-1" not in repr(routes)
+    assert decode([ROUTE], tenants=[]).customers == ()
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        {},
+        [{"name": "a"}],
+        [{**TENANT, "api_keys": "key-1"}],
+        [{**TENANT, "api_keys": [1]}],
+        [{**TENANT, "api_keys": ["key-1", ""]}],
+        [{**TENANT, "api_keys": ["key-1 key-2"]}],
+        [{**TENANT, "name": "line\r\nbreak"}],
+        [{**TENANT, "priority": -1}],
+        [TENANT, TENANT],
+        [TENANT, {"name": "b", "api_keys": ["key-2"]}],
+    ],
+)
+def test_configuration_with_an_odd_tenant_is_refused_without_naming_a_key(tenants):
+    with pytest.raises(DecodingError) as error:
+        decode([ROUTE], tenants=tenants)
+    assert "key-" not in str(error.value)
