--- a/tests/test_platform/test_mesh_keys.py
+++ b/tests/test_platform/test_mesh_keys.py
@@ -7,14 +7,20 @@
 import pytest
 
 from bench.caller import Router
-from bench.mesh import build_chunked_request, build_configuration, build_route
-from tests.meshes import READ_ROUTE, call, start_mesh
+from bench.mesh import (
+    build_chunked_request,
+    build_configuration,
+    build_mesh_request,
+    build_route,
+)
+from tests.meshes import READ_ROUTE, call, read_pipelined, start_mesh
 
 KEY, OTHER_KEY = "qf75rjvz48wuakn2ftim", "aj3nr26tta828m82thhk"
 OPEN_ROUTE = build_route("/open/", "one", public=True)
 #: Retried at another node's server after the first one sheds it.
 ORDER_ROUTE = build_route("/order/", "one", kind="non_idempotent", max_attempts=4)
 BOUND_S = 3.0
+SLOTS = 4  # of a server
 
 
 def write_configuration(mesh, version, *keys):
@@ -148,3 +154,32 @@
             lambda node=node: call(node, "/read/1", "f", **headers).status == 200,
             "a new proof",
         )
+
+
+def test_key_that_is_withdrawn_while_its_request_waits_for_a_slot_is_not_used(mesh):
+    start_mesh(mesh, count=1)
+    (node,) = mesh.nodes
+    write_configuration(mesh, 2, KEY)
+    mesh.fleet.wait_for(lambda: call(node, "/read/1", "w").status == 401, "version 2")
+    mesh.set_server_behaviour(node, service_ms=2_000)
+    routers = [Router(node.handle.entry_address) for _ in range(SLOTS + 1)]
+    for i, router in enumerate(routers[:SLOTS]):
+        other = {"Authorization": f"Bearer {OTHER_KEY}"}
+        router._sock.sendall(build_mesh_request(f"/read/{i}", f"full{i}", **other))
+    mesh.fleet.wait_for(
+        lambda: len(mesh.get_observed(node)["runs"]) == SLOTS, "requests in all slots"
+    )
+    own = {"Authorization": f"Bearer {KEY}"}
+    routers[-1]._sock.sendall(build_mesh_request("/read/9", "waits", **own))
+    mesh.fleet.wait_for(lambda: read_status(mesh, node)["waiting"] == 1, "the wait")
+    write_configuration(mesh, 3)
+    mesh.fleet.wait_for(lambda: read_status(mesh, node)["version"] == 3, "version 3")
+    assert read_status(mesh, node)["waiting"] == 1
+    assert [each.status for each in read_pipelined(routers[-1], 1)] == [401]
+    assert find_customers(mesh, "waits") == []
+    for router in routers:
+        router.close()
+
+
+def read_status(mesh, node):
+    return mesh.fleet.get_json(node.handle.operator_address, "/status")["forwarding"]
