--- a/monsoontray/decisions/keys.py
+++ b/monsoontray/decisions/keys.py
@@ -4,10 +4,12 @@
 
 import hashlib
 from collections.abc import Iterable, Sequence
+from random import Random
 
 from msgspec import Struct
 
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
+from monsoontray.decisions.retries import compute_unready_retry
 from monsoontray.routing.model import KeyHolder
 
 _SCHEME = b"bearer"
@@ -42,15 +44,14 @@
 
 
 def identify_customer(
-    keys: KeyIndex, credentials: Sequence[bytes], is_fresh: bool, retry_s: float
+    keys: KeyIndex, credentials: Sequence[bytes], is_fresh: bool, random: Random
 ) -> Identified | Refusal:
     """Return the customer of a request with these ``Authorization`` values.
 
-    A node that is not fresh can't tell a new key from an unknown one either. It
-    suggests that callers come back after ``retry_s`` seconds.
+    A node that is not fresh can't tell a new key from an unknown one either.
     """
     if not is_fresh:
-        return Refusal(Reason.KEYS_UNPROVEN, Ran.NOT_RUN, retry_s)
+        return _refuse_unproven(random)
     key = _read_key(credentials)
     if not key:
         return refuse_not_run(Reason.NO_CREDENTIALS)
@@ -62,18 +63,23 @@
 
 
 def check_key(
-    keys: KeyIndex | None, digest: bytes, is_fresh: bool, retry_s: float
+    keys: KeyIndex | None, digest: bytes, is_fresh: bool, random: Random
 ) -> Refusal | None:
     """Return a refusal if a key that was admitted must not be used any more."""
     if keys is None or not digest:
         return None
     if not is_fresh:
-        return Refusal(Reason.KEYS_UNPROVEN, Ran.NOT_RUN, retry_s)
+        return _refuse_unproven(random)
     if keys.find(digest) is None:
         return refuse_not_run(Reason.UNKNOWN_CUSTOMER)
     return None
 
 
+def _refuse_unproven(random: Random) -> Refusal:
+    retry_s = compute_unready_retry(random)
+    return Refusal(Reason.KEYS_UNPROVEN, Ran.NOT_RUN, retry_s)
+
+
 def _read_key(credentials: Sequence[bytes]) -> bytes:
     """Return the key, or nothing if there is not exactly one."""
     if len(credentials) != 1:
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -18,7 +18,6 @@
 from monsoontray.decisions.freshness import Freshness
 from monsoontray.decisions.keys import check_key
 from monsoontray.decisions.outcomes import Reason, Refusal, refuse_not_run
-from monsoontray.decisions.retries import compute_unready_retry
 from monsoontray.decisions.servers import (
     Endpoint,
     LoadView,
@@ -205,7 +204,7 @@
         """Return a refusal if a call's key must not be used any more."""
         keys = None if self.route_table is None else self.route_table.keys
         is_fresh = self.freshness.is_fresh(self.now)
-        return check_key(keys, digest, is_fresh, compute_unready_retry(self.random))
+        return check_key(keys, digest, is_fresh, self.random)
 
     def find_calls_at(self, guard: GuardState) -> list[Call]:
         """Return the calls that hold a slot of a local server."""
--- a/monsoontray/forwarding/sides.py
+++ b/monsoontray/forwarding/sides.py
@@ -191,8 +191,7 @@
     # The process may have been frozen since the event began. Only what was received
     # before the clock is read was certainly sent before that moment.
     is_fresh = context.freshness.is_fresh(context.clock.now())
-    retry_s = compute_unready_retry(context.random)
-    identified = identify_customer(table.keys, credentials, is_fresh, retry_s)
+    identified = identify_customer(table.keys, credentials, is_fresh, context.random)
     if isinstance(identified, Refusal):
         return UNIDENTIFIED if route.public else identified
     name = identified.customer.name.encode("latin-1")
