--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -117,10 +117,11 @@
         revision = decode_digits(known, MAX_INT64)
         known_revision = NO_REVISION if revision is None else revision
         wait_ms = decode_digits(wait, MAX_MIRROR_WAIT_MS) or 0
-        wait_deadline = self._kernel.clock.now() + wait_ms / MS_PER_S
+        received_at = self._kernel.clock.now()
+        wait_deadline = received_at + wait_ms / MS_PER_S
         response: MirrorResponse = self._kernel.ask(
             "mirror",
-            lambda reply: ReadMirror(known_revision, wait_deadline, reply),
+            lambda reply: ReadMirror(known_revision, wait_deadline, reply, received_at),
             wait_deadline + ASK_TIMEOUT_S,
         )
         content_type = "application/octet-stream"
