--- a/monsoontray/platform/store.py
+++ b/monsoontray/platform/store.py
@@ -4,7 +4,6 @@
 
 import base64
 from collections.abc import Sequence
-from functools import singledispatch
 from typing import Any
 from urllib.parse import urlencode
 
@@ -14,14 +13,10 @@
 from monsoontray.decoding.errors import DecodingError
 from monsoontray.decoding.values import Revision, Seconds, SequenceNumber
 from monsoontray.http.client import HttpClient, HttpRequest, HttpResponse
-from monsoontray.http.errors import (
-    ConnectError,
-    ConnectionLostError,
-    RequestError,
-    ResponseTimeoutError,
-)
+from monsoontray.http.errors import RequestError
 from monsoontray.kernel.clock import Clock
 from monsoontray.settings.settings import parse_url
+from monsoontray.store.failures import classify_failure, classify_status
 from monsoontray.store.outcomes import (
     ABSENT,
     Cause,
@@ -300,7 +295,7 @@
         except RequestError as error:
             self._current_endpoint = (self._current_endpoint + 1) % len(self._endpoints)
             return classify_failure(error)
-        return _classify_status(response)
+        return classify_status(response)
 
 
 def _encode_put(put: Put) -> dict[str, Any]:
@@ -313,39 +308,6 @@
     return fields
 
 
-@singledispatch
-def classify_failure(error: RequestError) -> NotDone | Unknown:
-    """Return what the failure of a request proves."""
-    return Unknown(Cause.BAD_RESPONSE)
-
-
-@classify_failure.register(ConnectError)
-def _(error: ConnectError) -> NotDone | Unknown:
-    return NotDone(Cause.UNREACHABLE)
-
-
-@classify_failure.register(ResponseTimeoutError)
-def _(error: ResponseTimeoutError) -> NotDone | Unknown:
-    return Unknown(Cause.TIMEOUT)
-
-
-@classify_failure.register(ConnectionLostError)
-def _(error: ConnectionLostError) -> NotDone | Unknown:
-    return Unknown(Cause.CONNECTION_LOST)
-
-
-def _classify_status(
-    response: HttpResponse,
-) -> HttpResponse | NotDone | Unknown:
-    if response.status in (429, 503):
-        return NotDone(Cause.OVERLOADED)
-    if response.status >= 500:
-        return Unknown(Cause.BAD_RESPONSE)
-    if response.status in (400, 403, 413):
-        return NotDone(Cause.REFUSED)
-    return response
-
-
 def _build_record(item: ItemSchema) -> Record | None:
     try:
         value = base64.b64decode(item.value, validate=True)
