Report the usage of customers to the platform

Nodes count the calls that their guards send, tell the sums to the holder of the duty and keep them until they are recorded. Services and settings are new; without an address for reports nothing changes.

--- a/monsoontray/discovery/encoding.py
+++ b/monsoontray/discovery/encoding.py
@@ -19,6 +19,7 @@
 
 NODE_KEY_PREFIX = "nodes/"
 DEPARTURES_KEY_PREFIX = "departures/"
+USAGE_HOLDER_KEY = "usage/holder"
 #: Prefixes of the keys that nodes mirror for each other.
 MIRRORED_PREFIXES = (
     "op/",
@@ -26,6 +27,7 @@
     NODE_KEY_PREFIX,
     DEPARTURES_KEY_PREFIX,
     CONTAINMENT_PREFIX,
+    USAGE_HOLDER_KEY,
 )
 #: Values of at least this size are sent as deltas.
 DELTA_MIN_BYTES = 4_096
--- a/monsoontray/discovery/watch.py
+++ b/monsoontray/discovery/watch.py
@@ -15,6 +15,7 @@
     DEPARTURES_KEY_PREFIX,
     MIRRORED_PREFIXES,
     NODE_KEY_PREFIX,
+    USAGE_HOLDER_KEY,
 )
 from monsoontray.discovery.messages import (
     ChooseStoreAccess,
@@ -43,6 +44,7 @@
     ("rollouts", ("rollouts/",)),
     ("operator", ("op/",)),
     ("membership", (NODE_KEY_PREFIX, DEPARTURES_KEY_PREFIX)),
+    ("usage-duty", (USAGE_HOLDER_KEY,)),
 )
 ALL_KEYS = ""
 INITIAL_RETRY_DELAY_S = 0.1  # doubled after each further failed call
@@ -89,6 +91,8 @@
         self._wait_s = settings.get_seconds("watch_wait_ms")
         self._random = Random(settings.get_string("node"))
         self._mirror_client = MirrorClient(kernel, self._random)
+        #: Services of this node that receive changes, as in SUBSCRIBERS.
+        self._subscribers = [s for s in SUBSCRIBERS if kernel.is_registered(s[0])]
         self._failures = 0
         self._newest_revision = 0  # highest revision read so far
         self._revision: int | None = None  # None until the next listing
@@ -145,7 +149,7 @@
         self._revision = revision
         self._newest_revision = max(self._newest_revision, revision)
         self._mirror_client.add_delta_bases(records)
-        for service, prefixes in SUBSCRIBERS:
+        for service, prefixes in self._subscribers:
             found = tuple(r for r in records if r.key.startswith(prefixes))
             self.kernel.post(service, StoreListed(found, revision))
 
@@ -239,7 +243,7 @@
 
     def _post_changes(self, changes: Changes) -> None:
         self._mirror_client.add_delta_bases(changes.records)
-        for service, prefixes in SUBSCRIBERS:
+        for service, prefixes in self._subscribers:
             records = tuple(r for r in changes.records if r.key.startswith(prefixes))
             removed = tuple(r for r in changes.removed if r.key.startswith(prefixes))
             if records or removed:
@@ -323,4 +327,5 @@
     """Register the service."""
     requires = ("settings", "store", "operator", "membership", "rollouts",
                 "mirror", "containment")  # fmt: skip
-    kernel.register(Registration(NAME, requires, StoreWatch))
+    starts_after = ("usage-duty",)
+    kernel.register(Registration(NAME, requires, StoreWatch, starts_after=starts_after))
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -65,6 +65,7 @@
         "server",
         "started_at",
         "transaction",
+        "usage_window",
     )
 
     def __init__(
@@ -85,6 +86,7 @@
         self.server = ""  # the server of the current attempt
         self.guard: GuardState | None = None  # local guard whose slot the call holds
         self.response_started = False
+        self.usage_window = 0  # in which the current attempt was counted
         assigned_by_caller = forwarder.http_profile.callers_assign_call_ids
         id_header = forwarder.http_profile.call_id
         id_line = build_id_line(id_header, call_id)
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -46,12 +46,14 @@
 from monsoontray.forwarding.report import CallReporter
 from monsoontray.forwarding.sides import find_route
 from monsoontray.forwarding.upstream import UpstreamPool
+from monsoontray.forwarding.usage import UsageRecorder
 from monsoontray.forwarding.versions import VersionGate
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.kernel.sockets import SocketTask
 from monsoontray.rollouts.messages import ReadEvidence, UpdateRolloutPlans
 from monsoontray.settings.service import SettingsChanged
 from monsoontray.settings.settings import parse_address
+from monsoontray.usage.messages import TakeUsage
 
 if TYPE_CHECKING:
     from monsoontray.decisions.guard import GuardState
@@ -100,6 +102,7 @@
         self.pool = UpstreamPool(self)
         self.reachability = Reachability(self)
         self.containment = RequestContainment(self)
+        self.usage = UsageRecorder(self, settings.get_float("usage_window_s"))
         self._departures = Departures()
         self.response_times = ResponseTimes()
         self.dirty_connections: list[Connection] = []
@@ -388,6 +391,11 @@
     message.reply.put(forwarder.guards.read_evidence())
 
 
+@handle_message.register(TakeUsage)
+def _(message: TakeUsage, forwarder: Forwarder) -> None:
+    forwarder.usage.report(message)
+
+
 @handle_message.register(DescribeForwarding)
 def _(message: DescribeForwarding, forwarder: Forwarder) -> None:
     message.reply.put(forwarder.describe())
--- a/monsoontray/forwarding/guards.py
+++ b/monsoontray/forwarding/guards.py
@@ -155,6 +155,7 @@
         """
         if call.guard is not None:
             call.guard.record_sent(call, self._forwarder.clock.now())
+            self._forwarder.usage.count(call)
 
     def release_slot(self, guard: GuardState, call: Call) -> None:
         """Release the slot of a call, and grant it to the next waiting call."""
--- a/monsoontray/forwarding/receiving.py
+++ b/monsoontray/forwarding/receiving.py
@@ -50,6 +50,8 @@
         call.request.abort()
         if result.ran is Ran.UNKNOWN:
             call.record_outcome(True)
+        else:
+            call.forwarder.usage.take_back(call)
         call.fail_attempt(result)
         return True
     if call.id_line:
--- a/monsoontray/http/client.py
+++ b/monsoontray/http/client.py
@@ -45,6 +45,7 @@
     connect_deadline: float  # monotonic seconds
     response_deadline: float  # monotonic seconds, until the response begins
     body: bytes = b""  # a JSON document
+    lines: tuple[bytes, ...] = ()  # additional header lines
 
 
 class HttpResponse(Struct, frozen=True):
@@ -205,6 +206,7 @@
     lines = [encode_header(b"host", str(request.address).encode())]
     if request.body:
         lines.append(CONTENT_TYPE_LINE)
+    lines += request.lines
     framing = Framing.EMPTY if request.method == "GET" else Framing.LENGTH
     head = encode_request(
         request.method, request.target.encode(), lines, framing, len(request.body)
--- a/monsoontray/metrics/service.py
+++ b/monsoontray/metrics/service.py
@@ -83,6 +83,17 @@
             "Ends of local servers that were running requests",
             registry=self.registry,
         )
+        self._usage_reports = Counter(
+            "monsoontray_usage_reports",
+            "Usage reports sent by this node, by outcome",
+            ("outcome",),
+            registry=self.registry,
+        )
+        self._late_usage = Counter(
+            "monsoontray_usage_late_calls",
+            "Calls that were counted after their window had been recorded",
+            registry=self.registry,
+        )
         self._contained = Gauge(
             "monsoontray_contained_requests",
             "Requests that are refused because servers ended while running them",
@@ -154,6 +165,14 @@
         """Count the end of a local server that was running requests."""
         self._server_ends.inc()
 
+    def count_usage_report(self, outcome: str) -> None:
+        """Count a usage report that was sent."""
+        self._usage_reports.labels(outcome).inc()
+
+    def count_late_usage(self, calls: int) -> None:
+        """Count calls that came too late for the report of their window."""
+        self._late_usage.inc(calls)
+
     def set_contained(self, count: int) -> None:
         """Set the number of requests that are refused."""
         self._contained.set(count)
--- a/monsoontray/node.py
+++ b/monsoontray/node.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from types import FrameType
 
-from monsoontray.forwarding.interfaces import build_interface
+from monsoontray.forwarding.interfaces import PLATFORM_INTERFACE, build_interface
 from monsoontray.kernel.clock import SystemClock
 from monsoontray.kernel.kernel import Kernel
 from monsoontray.kernel.messages import StopRequested
@@ -47,6 +47,7 @@
         "monsoontray.platform.endpoint",
     ),
 }
+USAGE_MODULES = ("monsoontray.usage.service", "monsoontray.usage.duty")
 STOP_MARGIN_S = 0.5  # time from the end of the stop until the platform's kill
 EXIT_STOPPED = 0
 EXIT_FAILED = 70
@@ -65,7 +66,7 @@
     )
     kernel = Kernel(SystemClock(), _compute_stop_grace(settings))
     register_settings(kernel, settings, path)
-    for name in SERVICE_MODULES[settings.get_string("interface")]:
+    for name in _choose_modules(settings):
         import_module(name).setup(kernel)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(
@@ -79,6 +80,18 @@
     return EXIT_FAILED if kernel.failed else EXIT_STOPPED
 
 
+def _choose_modules(settings: Settings) -> tuple[str, ...]:
+    """Return the modules of the interface, and of what the settings ask for."""
+    interface = settings.get_string("interface")
+    modules = SERVICE_MODULES[interface]
+    reports_usage = settings.get_string("usage_address") and settings.get_float(
+        "usage_window_s"
+    )
+    if interface == PLATFORM_INTERFACE and reports_usage:
+        return modules + USAGE_MODULES
+    return modules
+
+
 def _request_reload(kernel: Kernel, path: Path) -> None:
     kernel.post("settings", ReloadSettings(path))
 
--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -39,6 +39,7 @@
     decode_server_name,
 )
 from monsoontray.rollouts.messages import ReadEvidence
+from monsoontray.usage.messages import UsageTold
 
 if TYPE_CHECKING:
     from monsoontray.settings.settings import Settings
@@ -72,6 +73,7 @@
             "/departures": partial(
                 self.exchange, "departure-keepers", DeparturesOffered
             ),
+            "/usage-counts": partial(self.exchange, "usage", UsageTold),
             "/evidence": self.read_evidence,
             "/status": self.describe_node,
         }
--- a/monsoontray/store/service.py
+++ b/monsoontray/store/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from monsoontray.kernel.kernel import Kernel, Registration
@@ -21,10 +22,10 @@
         self._kernel = kernel
         self._settings: Settings = kernel.find("settings").settings
 
-    def open_client(self) -> StoreClient:
+    def open_client(self, max_timeout_s: float = math.inf) -> StoreClient:
         """Return a new client for the calling task."""
         endpoints = self._settings.get_strings("store_endpoints")
-        timeout_s = self._settings.get_seconds("store_timeout_ms")
+        timeout_s = min(self._settings.get_seconds("store_timeout_ms"), max_timeout_s)
         return PlatformStoreClient(endpoints, timeout_s, self._kernel.clock)
 
     def start(self) -> None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -156,7 +156,7 @@
     def is_registered(self, name):
         return True
 
-    def open_client(self):
+    def open_client(self, max_timeout_s=0.0):
         return self.store
 
     def count_refused_version(self):
@@ -165,6 +165,12 @@
     def count_refused_entry(self, kind):
         self.posted["metrics"].append(kind)
 
+    def count_usage_report(self, outcome):
+        self.posted["metrics"].append(outcome)
+
+    def count_late_usage(self, calls):
+        self.posted["metrics"].append(calls)
+
     def set_version(self, number):
         self.posted["metrics"].append(number)
 
