Send a report as soon as it is recorded

The deadline of a step that was already possible was left out, so a report waited until another step was due. The walks now take a step only at its deadline, and failed before.

--- a/monsoontray/decisions/duty.py
+++ b/monsoontray/decisions/duty.py
@@ -239,7 +239,10 @@
             due.append(self._retry_at)
         elif self._find_unsent() is not None:
             send_at = max(self._send_at, self._acts_from)
-            due.append(send_at if send_at > now else math.inf)
+            if send_at > now:
+                due.append(send_at)
+            elif self._choose_send(now) is not None:
+                due.append(now)
         return min(due)
 
     def apply(self, step: Any, outcome: Any, now: float) -> None:
--- a/tests/test_decisions/test_duty_model.py
+++ b/tests/test_decisions/test_duty_model.py
@@ -143,7 +143,8 @@
         duty = self.nodes[i]
         if duty.is_held:
             self.collect(i, duty)
-        step = duty.choose_step(self.now)
+        is_due = duty.find_next_deadline(self.now) <= self.now
+        step = duty.choose_step(self.now) if is_due else None
         if step is None:
             self.at(self.now + 0.05, self.step, i, term)
             return
@@ -278,6 +279,7 @@
     assert find_faults(walk) == []
     assert [row[3] for row in walk.received] == list(range(1, 12))
     assert {row[2] for row in walk.received} == {1}
+    assert all(row[0] < (row[3] + 1) * WINDOW_S + 0.5 for row in walk.received)
 
 
 @pytest.mark.parametrize("first", range(0, WALKS, 50))
