--- a/monsoontray/platform/endpoint.py
+++ b/monsoontray/platform/endpoint.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import threading
 from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 
@@ -24,12 +23,8 @@
 )
 from monsoontray.discovery.mirror import MAX_PENDING_READS
 from monsoontray.forwarding.messages import DescribeForwarding, ForwardingState
-from monsoontray.http.server import (
-    EndpointServer,
-    ServerRequest,
-    ServerResponse,
-    WorkerPool,
-)
+from monsoontray.http.endpoints import HttpEndpoints
+from monsoontray.http.server import ServerRequest, ServerResponse
 from monsoontray.kernel.errors import KernelError
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.logs import logger
@@ -41,11 +36,7 @@
 from monsoontray.rollouts.messages import ReadEvidence
 from monsoontray.usage.messages import UsageTold
 
-if TYPE_CHECKING:
-    from monsoontray.settings.settings import Settings
-
 NAME = "endpoint"
-MAX_LOCAL_THREADS = 8  # for the platform and the local server
 #: Each read that waits for changes occupies a thread; 4 more serve other requests.
 MAX_PEER_THREADS = MAX_PENDING_READS + 4
 MAX_MIRROR_WAIT_MS = 2_000  # longest wait for changes that another node may request
@@ -155,56 +146,13 @@
         return self._kernel.ask(service, build_message, deadline)
 
 
-class EndpointService:
+class EndpointService(HttpEndpoints):
     """Service that runs the HTTP servers, one for each address."""
 
     def __init__(self, kernel: Kernel) -> None:
-        settings: Settings = kernel.find("settings").settings
-        setting_names = (
-            "operator_address",
-            "ready_address",
-            "peer_address",
-            "metrics_address",
+        super().__init__(
+            NAME, kernel, EndpointHandlers(kernel).handle, MAX_PEER_THREADS
         )
-        self._addresses = {
-            settings.get_bind_address(name)
-            for name in setting_names
-            if settings.get_string(name)
-        }
-        self._peer_address = settings.get_bind_address("peer_address")
-        self._clock = kernel.clock
-        self._handlers = EndpointHandlers(kernel)
-        self._servers: list[EndpointServer] = []
-
-    def start(self) -> None:
-        """Start the servers; raise OSError if an address is in use."""
-        # Reads that wait for changes must not occupy the threads for heartbeats.
-        peer_pool = WorkerPool(f"{NAME}-peers", MAX_PEER_THREADS)
-        local_pool = WorkerPool(f"{NAME}-local", MAX_LOCAL_THREADS)
-        for address in self._addresses:
-            pool = peer_pool if address == self._peer_address else local_pool
-            server = EndpointServer(address, self._handlers.handle, pool)
-            server.prepare()
-            self._servers.append(server)
-            name = f"{NAME}-{address.port}"
-            threading.Thread(target=server.serve, name=name, daemon=True).start()
-
-    def stop(self, deadline: float) -> None:
-        """Stop the servers, each of which waits for its loop to end.
-
-        A loop that has not ended by the deadline ends with the process.
-        """
-        stopping = [
-            threading.Thread(target=each.stop, daemon=True) for each in self._servers
-        ]
-        for thread in stopping:
-            thread.start()
-        for thread in stopping:
-            thread.join(max(0.0, deadline - self._clock.now()))
-
-    def post(self, message: object) -> None:
-        """Raise TypeError; the service accepts no messages."""
-        raise TypeError(f"the endpoint accepts no messages: {message!r}")
 
 
 def _decode_call(
