Let the holder of a large fleet ask to be told less often

A holder heard every node once a second, so its work grew with the fleet; it now wants at most 100 tells a second.

--- a/monsoontray/decisions/usage.py
+++ b/monsoontray/decisions/usage.py
@@ -19,6 +19,7 @@
 MIN_COLLECT_S = 0.8
 MIN_TERM_S = 2.5
 COLLECT_SHARE = 0.7  # of the time until the report is due
+TELLS_PER_S = 100.0  # that the holder wants from all nodes together
 #: Windows before the current one that a holder still collects.
 MAX_PAST_WINDOWS = 3
 
@@ -26,18 +27,19 @@
 class CallCounter:
     """Counter of the calls that a guard sends to its server."""
 
-    __slots__ = ("_counts", "_offset", "_window_s")
+    __slots__ = ("_counts", "_window_s", "offset")
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
-        self._offset: float | None = None
+        #: Seconds of true time beyond the steady clock, None while it is unknown.
+        self.offset: float | None = None
         self._counts: dict[int, Counts] = {}
 
     def count(self, customer: str, now: float) -> int:
         """Count a call; return its window, or 0 while the time is unknown."""
-        if self._offset is None:
+        if self.offset is None:
             return 0
-        window = int((now + self._offset) // self._window_s)
+        window = int((now + self.offset) // self._window_s)
         self._add(window, customer, 1)
         return window
 
@@ -45,9 +47,8 @@
         """Take back the count of a call that the server rejected."""
         self._add(window, customer, -1)
 
-    def take(self, offset: float) -> dict[int, Counts]:
-        """Return the counts since the last time, and use an offset of true time."""
-        self._offset = offset
+    def take(self) -> dict[int, Counts]:
+        """Return the counts since the last time."""
         counts, self._counts = self._counts, {}
         return counts
 
@@ -172,6 +173,10 @@
                     del by_incarnation[incarnation]
         self._known = {name: each for name, each in self._known.items() if each}
 
+    def compute_interval(self) -> float:
+        """Return how often a node should tell, in seconds, by the number of nodes."""
+        return len(self._known) / TELLS_PER_S
+
     def find_next_check(self, time: float) -> float | None:
         """Return the time at which the window may be recorded without a message."""
         if self.window is None:
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -152,7 +152,8 @@
         self.timers.add(deadline, self.stop_serving)
 
     def close(self) -> None:
-        """Close all connections."""
+        """Report the last calls and close all connections."""
+        self.usage.report_last()
         for caller in list(self._callers):
             caller.close()
         self.pool.close()
--- a/monsoontray/forwarding/usage.py
+++ b/monsoontray/forwarding/usage.py
@@ -38,8 +38,14 @@
             call.usage_window = 0
 
     def report(self, message: TakeUsage) -> None:
+        """Post what was counted since the last time, and use a time."""
+        if self._counter is not None:
+            self._counter.offset = message.offset
+            self.report_last()
+
+    def report_last(self) -> None:
         """Post what was counted since the last time."""
         if self._counter is not None:
-            counts = self._counter.take(message.offset)
+            counts = self._counter.take()
             now = self._forwarder.now
             self._forwarder.kernel.post(USAGE, UsageCounted(counts, now))
--- a/monsoontray/usage/encoding.py
+++ b/monsoontray/usage/encoding.py
@@ -13,6 +13,7 @@
 
 LEDGER_KEY = "usage/ledger"
 MAX_TIME_S = 1e11
+MAX_INTERVAL_S = 3_600.0
 
 CustomerCounts = Annotated[
     dict[Name, Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]],
@@ -40,6 +41,7 @@
 
     recorded: SequenceNumber
     time: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_TIME_S)]
+    interval_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_INTERVAL_S)]
 
 
 def encode_holder(holder: Holder) -> bytes:
--- a/monsoontray/usage/service.py
+++ b/monsoontray/usage/service.py
@@ -53,9 +53,9 @@
 
 NAME = "usage"
 PATH = "/usage-counts"
-TELL_INTERVAL_S = 1.0
+MIN_TELL_INTERVAL_S = 1.0
 #: Random part of a node's first tell after a window, so that not all tell at once.
-TELL_SPREAD_S = 0.4
+TELL_SPREAD_SHARE = 0.4  # of the interval
 TIMEOUT_S = 0.3  # of an exchange
 MEMBERSHIP_TIMEOUT_S = 0.2
 STOP_LIMIT_S = 0.3  # for the last exchange of a node that stops
@@ -84,6 +84,8 @@
         self._holder: Holder | None = None
         self._is_holder = False
         self._check_timer: Timer | None = None
+        self._leaving = False
+        self._interval_s = MIN_TELL_INTERVAL_S  # as the holder last asked for
         self._told_through = 0  # newest window that the holder has wholly
 
     def open(self) -> None:
@@ -92,11 +94,12 @@
 
     def begin_stop(self, deadline: float) -> None:
         """Tell the holder what is left."""
+        self._leaving = True
         self.timers.add(min(deadline, self.now + STOP_LIMIT_S), self.stop_serving)
         if self._is_holder or self._holder is None:
             self.stop_serving()
         else:
-            self._send(self._build_usage(leaving=True), is_last=True)
+            self._send(self._build_usage(), is_last=True)
 
     def handle_counted(self, message: UsageCounted) -> None:
         """Add what was counted, and tell it."""
@@ -135,9 +138,7 @@
         is_new = holder is not None and holder != self._holder
         self._holder = holder
         if is_new and not self._is_holder:
-            self.timers.add(
-                self.now + self._random.random() * TELL_SPREAD_S, self._tell
-            )
+            self.timers.add(self.now + self._compute_spread(), self._tell)
 
     def begin_term(self, message: DutyHeld) -> None:
         """Collect the counts of all nodes."""
@@ -150,7 +151,8 @@
     def end_term(self) -> None:
         """Leave the counts to the next holder."""
         self._is_holder = False
-        self._holder = None
+        if self._holder is not None and self._holder.node == self._node:
+            self._holder = None
         self._collector.end()
 
     def mark_recorded(self, recorded: int) -> None:
@@ -162,12 +164,14 @@
         self.kernel.post("forwarding", TakeUsage(self._time.offset))
         now = self._time.estimate(self.now)
         end = (now // self._window_s + 1) * self._window_s
-        after_end = end - now + SETTLE_S + self._random.random() * TELL_SPREAD_S
-        delay_s = TELL_INTERVAL_S
-        if after_end < 1.5 * TELL_INTERVAL_S:
-            delay_s = after_end
+        after_end = end - now + SETTLE_S + self._compute_spread()
+        is_end_near = after_end < 1.5 * self._interval_s
+        delay_s = after_end if is_end_near else self._interval_s
         self.timers.add(self.now + delay_s, self._take)
 
+    def _compute_spread(self) -> float:
+        return self._random.random() * TELL_SPREAD_SHARE * self._interval_s
+
     def _tell(self) -> None:
         """Tell the holder this node's sums, if there is something new."""
         usage = self._build_usage()
@@ -179,7 +183,7 @@
         ):
             self._send(usage)
 
-    def _build_usage(self, leaving: bool = False) -> NodeUsage:
+    def _build_usage(self) -> NodeUsage:
         self._sequence += 1
         settled = self._time.estimate(self._counted_until) - SETTLE_S
         return NodeUsage(
@@ -189,7 +193,7 @@
             self._time.estimate_own(self.now),
             int(settled // self._window_s) - 1,
             self._sums.get_windows(),
-            leaving,
+            self._leaving,
         )
 
     def _send(self, usage: NodeUsage, is_last: bool = False) -> None:
@@ -223,6 +227,7 @@
             self._told_through = usage.complete_through
             if not was_passed:
                 self._time.correct(answer.time, self.now)
+            self._interval_s = max(answer.interval_s, MIN_TELL_INTERVAL_S)
             self._sums.mark_recorded(answer.recorded)
             self.kernel.post("usage-duty", WindowsRecorded(answer.recorded))
         elif not was_passed and not is_last:
@@ -269,7 +274,11 @@
             return None
 
     def _build_answer(self) -> bytes:
-        answer = UsageAnswer(self._sums.recorded, self._time.estimate(self.now))
+        answer = UsageAnswer(
+            self._sums.recorded,
+            self._time.estimate(self.now),
+            self._collector.compute_interval(),
+        )
         return encode_answer(answer)
 
     def _answer_passed(self, reply: Reply, response: HttpResponse | None) -> None:
--- a/tests/test_decisions/test_usage.py
+++ b/tests/test_decisions/test_usage.py
@@ -29,14 +29,14 @@
 def test_calls_count_in_the_window_of_true_time_at_which_they_began():
     counter = CallCounter(WINDOW_S)
     assert counter.count("a", 1.0) == 0
-    counter.take(1000.0)
+    counter.offset = 1000.0
     assert counter.count("a", 1.0) == 200
     assert counter.count("a", 4.999) == 200
     assert counter.count("b", 5.0) == 201
     counter.take_back("a", 200)
-    assert counter.take(1000.0) == {200: {"a": 1}, 201: {"b": 1}}
+    assert counter.take() == {200: {"a": 1}, 201: {"b": 1}}
     counter.take_back("a", 200)
-    assert counter.take(1000.0) == {200: {"a": -1}}
+    assert counter.take() == {200: {"a": -1}}
 
 
 def test_sums_are_kept_until_recorded_and_bounded():
--- a/tests/test_usage/test_service.py
+++ b/tests/test_usage/test_service.py
@@ -185,6 +185,36 @@
     assert 3 in network.kernels[2].posted["metrics"]
 
 
+def test_last_counts_of_a_node_that_stops_are_collected(network):
+    network.set_holder(0)
+    network.run(3.0)
+    kernel = network.kernels[2]
+    kernel.deliver(UsageCounted({200: {"a": 50}}, network.clock.now()))
+    kernel.usage.begin_stop(network.clock.now() + 1.0)
+    network.run(0.1)
+    kernel.usage.timers = Timers()  # its own timers end with it
+    network.run(4.0)
+    assert network.find_collected(0)[200] >= 50 + 5 * 2 * 5
+
+
+def test_holder_of_a_large_fleet_is_told_less_often(monkeypatch):
+    monkeypatch.setattr("monsoontray.decisions.usage.TELLS_PER_S", 2.0)
+    network = Network(6, monkeypatch)
+    network.set_holder(0)
+    network.run(22.0)
+    assert sorted(network.find_collected(0)) == [200, 201, 202, 203]
+    assert network.exchanges < 5 * 22 / 1.6
+
+
+def test_term_that_ends_late_does_not_hide_the_next_holder(network):
+    network.set_holder(0)
+    network.run(1.0)
+    network.set_holder(1)
+    network.kernels[0].deliver(DutyLost())
+    network.run(6.0)
+    assert network.find_collected(1)[200] >= 6 * 2 * 5
+
+
 def test_message_that_cannot_be_read_is_refused(network):
     answers = []
     network.set_holder(0)
