--- a/monsoontray/platform/store.py
+++ b/monsoontray/platform/store.py
@@ -16,7 +16,7 @@
 from monsoontray.http.errors import RequestError
 from monsoontray.kernel.clock import Clock
 from monsoontray.settings.settings import parse_url
-from monsoontray.store.failures import classify_failure
+from monsoontray.store.failures import classify_failure, classify_status
 from monsoontray.store.outcomes import (
     ABSENT,
     Cause,
@@ -295,7 +295,7 @@
         except RequestError as error:
             self._current_endpoint = (self._current_endpoint + 1) % len(self._endpoints)
             return classify_failure(error)
-        return _classify_status(response)
+        return classify_status(response)
 
 
 def _encode_put(put: Put) -> dict[str, Any]:
@@ -308,18 +308,6 @@
     return fields
 
 
-def _classify_status(
-    response: HttpResponse,
-) -> HttpResponse | NotDone | Unknown:
-    if response.status in (429, 503):
-        return NotDone(Cause.OVERLOADED)
-    if response.status >= 500:
-        return Unknown(Cause.BAD_RESPONSE)
-    if response.status in (400, 403, 413):
-        return NotDone(Cause.REFUSED)
-    return response
-
-
 def _build_record(item: ItemSchema) -> Record | None:
     try:
         value = base64.b64decode(item.value, validate=True)
--- a/monsoontray/store/failures.py
+++ b/monsoontray/store/failures.py
@@ -1,9 +1,10 @@
-"""What the failure of a request to the store proves about it."""
+"""What failures of requests, and statuses of responses, prove about a call."""
 
 from __future__ import annotations
 
 from functools import singledispatch
 
+from monsoontray.http.client import HttpResponse
 from monsoontray.http.errors import (
     ConnectError,
     ConnectionLostError,
@@ -32,3 +33,16 @@
 @classify_failure.register(ConnectionLostError)
 def _(error: ConnectionLostError) -> NotDone | Unknown:
     return Unknown(Cause.CONNECTION_LOST)
+
+
+def classify_status(
+    response: HttpResponse,
+) -> HttpResponse | NotDone | Unknown:
+    """Return the response, or what its status proves if it is none to the call."""
+    if response.status in (429, 503):
+        return NotDone(Cause.OVERLOADED)
+    if response.status >= 500:
+        return Unknown(Cause.BAD_RESPONSE)
+    if response.status in (400, 403, 413):
+        return NotDone(Cause.REFUSED)
+    return response
