Ask the guard whether a call that is given up has run

A node that gave up a call which it had passed on said "unknown", also where the call still waited in the guard's queue or the guard had refused an earlier attempt.

The node now ends its half of the connection; the guard drops the call and says as the last thing whether a server got it. A refused attempt no longer counts as sent, and an answer that names no call, to an offer whose body was not sent, is not-run.

The random orders of test_call_model.py, with the check that 502 and 504 need a hop that may have run the request, fail on the code before and pass now.

--- a/monsoontray/decisions/outcomes.py
+++ b/monsoontray/decisions/outcomes.py
@@ -39,6 +39,7 @@
     UNREACHABLE = "unreachable"
     NODE_STOPPING = "node-stopping"
     DEADLINE_PASSED = "deadline-passed"
+    WITHDRAWN = "withdrawn"  # the node that passed the call on took it back
     CONNECTION_LOST = "connection-lost"
     NO_ANSWER = "no-answer"
     BAD_RESPONSE = "bad-response"
--- a/monsoontray/decisions/retries.py
+++ b/monsoontray/decisions/retries.py
@@ -126,9 +126,10 @@
         "last_refusal",
         "last_server",
         "offers",
-        "ran",
         "sends",
+        "settled_ran",
         "tried",
+        "unsettled",
     )
 
     def __init__(self) -> None:
@@ -138,19 +139,32 @@
         #: Servers with no free slot or with many failures; may be asked again.
         self.busy: list[str] = []
         self.last_server = ""  # of the latest failed attempt
-        self.ran = Ran.NOT_RUN  # worst outcome of all attempts
+        self.settled_ran = Ran.NOT_RUN  # worst known outcome of all attempts
+        self.unsettled = 0  # withdrawn attempts whose outcome is not known yet
         self.last_refusal: Refusal | None = None  # of the latest failed attempt
 
-    def record_failure(self, server: str, refusal: Refusal) -> bool:
-        """Record a failed attempt.
+    @property
+    def ran(self) -> Ran:
+        """Return the worst outcome of all attempts, as far as it is known."""
+        return Ran.UNKNOWN if self.unsettled else self.settled_ran
+
+    def settle(self, ran: Ran) -> None:
+        """Record the outcome of a withdrawn attempt."""
+        self.unsettled -= 1
+        self._record_outcome(ran)
+
+    def record_failure(
+        self, server: str, refusal: Refusal, is_withdrawn: bool = False
+    ) -> bool:
+        """Record a failed attempt, whose outcome follows if it was withdrawn.
 
         Return whether it is the first attempt that a back end may have received.
         """
         (self.busy if is_soft_refusal(refusal.reason) else self.tried).append(server)
         self.last_server = server
         self.last_refusal = refusal
-        if _SEVERITY[refusal.ran] > _SEVERITY[self.ran]:
-            self.ran = refusal.ran
+        if not is_withdrawn:
+            self._record_outcome(refusal.ran)
         return refusal.ran is not Ran.NOT_RUN and self.record_send()
 
     def is_no_wait(self) -> bool:
@@ -180,3 +194,7 @@
         if _SEVERITY[self.ran] > _SEVERITY[refusal.ran]:
             return Refusal(refusal.reason, self.ran, refusal.retry_after_s)
         return refusal
+
+    def _record_outcome(self, ran: Ran) -> None:
+        if _SEVERITY[ran] > _SEVERITY[self.settled_ran]:
+            self.settled_ran = ran
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -26,12 +26,18 @@
 from monsoontray.forwarding.routes import EntryRoute, GuardRoute, Hop
 from monsoontray.forwarding.sending import RequestSender, build_id_line
 from monsoontray.forwarding.sides import find_caller
+from monsoontray.forwarding.withdrawals import (
+    drop_withdrawals,
+    postpone_refusal,
+    withdraw_attempt,
+)
 
 if TYPE_CHECKING:
     from monsoontray.decisions.guard import GuardState
     from monsoontray.forwarding.caller import HttpTransaction
     from monsoontray.forwarding.forwarder import Forwarder
     from monsoontray.forwarding.responses import BufferedResponse
+    from monsoontray.forwarding.withdrawals import Withdrawal
     from monsoontray.kernel.timers import Timer
 
 #: Refusals of guards that let a server start only so many calls a second.
@@ -59,12 +65,14 @@
         "head",
         "id_line",
         "is_active",
+        "pending_refusal",
         "request",
         "response_started",
         "route",
         "server",
         "started_at",
         "transaction",
+        "withdrawals",
     )
 
     def __init__(
@@ -101,6 +109,9 @@
         #: Refusal by the guard of another node, whose response is still arriving.
         self.guard_refusal: Refusal | None = None
         self.buffered_response: BufferedResponse | None = None
+        self.withdrawals: list[Withdrawal] = []  # attempts that were taken back
+        #: Refusal that waits until guards have said whether withdrawn attempts ran.
+        self.pending_refusal: Refusal | None = None
         self._attempt_started_at = self.started_at
         self.expected_s = 0.0  # estimated duration of the current attempt
         self._attempt_timer: Timer | None = None
@@ -135,6 +146,8 @@
 
     def receive_body(self, part: bytes) -> None:
         """Handle a part of the request body."""
+        if self.pending_refusal is not None:
+            return
         was_known = bool(self.request.fingerprint.value)
         self.request.identify(part)
         if self._is_too_large() or (not was_known and self._is_contained()):
@@ -144,6 +157,8 @@
 
     def receive_end(self) -> None:
         """Handle the end of the request."""
+        if self.pending_refusal is not None:
+            return
         was_known = bool(self.request.fingerprint.value)
         self.request.fingerprint.end_body()
         if not was_known and self._is_contained():
@@ -247,13 +262,23 @@
             return refuse_unknown(reason)
         return refuse_not_run(reason)
 
+    def build_final_refusal(self, reason: Reason) -> Refusal:
+        """Return a refusal that states whether any attempt may have run."""
+        return self.attempts.apply_worst_outcome(self.build_refusal(reason))
+
     def refuse(self, refusal: Refusal) -> None:
         """End the call with a refusal.
 
-        If any attempt of the call may have run, the refusal says so.
+        If any attempt of the call may have run, the refusal says so. Where a guard may
+        know better, it is asked first.
         """
+        if refusal.ran is Ran.UNKNOWN and withdraw_attempt(self):
+            refusal = Refusal(refusal.reason, Ran.NOT_RUN, refusal.retry_after_s)
+        else:
+            self.request.abort()
+        if postpone_refusal(self, refusal):
+            return
         refusal = self.attempts.apply_worst_outcome(refusal)
-        self.request.abort()
         self.forwarder.report.record_refused_call(refusal, self)
         self._clean_up()
         self.transaction.refuse(refusal, self)
@@ -281,13 +306,14 @@
             return False
         return self.forwarder.budgets.try_retry(route.service, route.name, self.now)
 
-    def end_attempt(self, refusal: Refusal) -> None:
+    def end_attempt(self, refusal: Refusal, is_withdrawn: bool = False) -> None:
         """Release the resources of the current attempt and record its failure."""
         self.buffered_response = None
+        self.request.may_run = False  # the history has the outcome from now on
         self.stop_attempt_timer()
         self.forwarder.guards.remove_waiting(self)
         self.forwarder.containment.remove(self)
-        if self.attempts.record_failure(self.server, refusal):
+        if self.attempts.record_failure(self.server, refusal, is_withdrawn):
             self._count_call()
         self.release()
 
@@ -330,7 +356,8 @@
             )
             self.transaction.cut()
         else:
-            self.refuse(self.build_refusal(Reason.DEADLINE_PASSED))
+            refusal = self.guard_refusal or self.build_refusal(Reason.DEADLINE_PASSED)
+            self.refuse(refusal)
 
     def _is_too_large(self) -> bool:
         """Refuse the call if its body, which may be in chunks, exceeds the limit."""
@@ -361,11 +388,16 @@
         else:
             self.transaction.resume_reading()
 
-    def _clean_up(self) -> None:
-        self.is_active = False
+    def stop_work(self) -> None:
+        """Release what the attempts hold; no further one starts."""
         self.stop_attempt_timer()
         self.forwarder.timers.cancel(self._deadline_timer)
         self.forwarder.guards.remove_waiting(self)
         self.release()
         self.forwarder.containment.remove(self)
+
+    def _clean_up(self) -> None:
+        self.is_active = False
+        drop_withdrawals(self)
+        self.stop_work()
         self.forwarder.remove_call(self)
--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -13,6 +13,7 @@
 from monsoontray.forwarding.connection import Connection
 from monsoontray.forwarding.heads import EndOfMessage, RequestHead
 from monsoontray.forwarding.parsing import Malformed, RequestEvent, RequestParser
+from monsoontray.forwarding.sides import answers_withdrawals
 from monsoontray.forwarding.transaction import HttpTransaction
 
 if TYPE_CHECKING:
@@ -75,6 +76,24 @@
         self._pending_events.extend(events)
         self._process_pending()
 
+    def on_eof(self) -> None:
+        """Say of a call that was taken back whether a server may have run it."""
+        transaction = self._transactions[0] if self._transactions else None
+        call = None if transaction is None else transaction.call
+        if (
+            transaction is None
+            or call is None
+            or call.response_started
+            or not answers_withdrawals(self.side)
+        ):
+            self.on_connection_lost()
+            return
+        transaction.call = None
+        refusal = call.build_final_refusal(Reason.WITHDRAWN)
+        call.cancel()
+        transaction.closes_connection = True
+        transaction.refuse(refusal, None, call.call_id)
+
     def on_connection_lost(self) -> None:
         """Close the connection and cancel its calls."""
         transactions, self._transactions = self._transactions, deque()
@@ -134,7 +153,7 @@
             call_id = call.call_id
             transaction.call = None
             response_started = call.response_started
-            refusal = call.build_refusal(malformed.reason)
+            refusal = call.build_final_refusal(malformed.reason)
             call.cancel()
             if response_started:
                 transaction.cut()
--- a/monsoontray/forwarding/receiving.py
+++ b/monsoontray/forwarding/receiving.py
@@ -37,6 +37,8 @@
         call.forwarder.loads.record_response(
             call.server, decode_load(head), call.now, call.route.name
         )
+        if refusal is not None:
+            refusal = _apply_own_knowledge(call, refusal)
         call.guard_refusal = refusal
         if refusal is not None:
             return True
@@ -47,6 +49,7 @@
     handle_announcements(call, head)
     call.stop_attempt_timer()
     if isinstance(result, Refusal):
+        result = _apply_own_knowledge(call, result)
         call.request.abort()
         if result.ran is Ran.UNKNOWN:
             call.record_outcome(True)
@@ -100,6 +103,13 @@
     call.finish(failed)
 
 
+def _apply_own_knowledge(call: Call, refusal: Refusal) -> Refusal:
+    """Return the refusal of the current attempt, not run if its body was not sent."""
+    if refusal.ran is Ran.UNKNOWN:
+        return call.build_refusal(refusal.reason)
+    return refusal
+
+
 def _begin_response(call: Call, head: ResponseHead) -> None:
     call.response_started = True
     if isinstance(call.route, GuardRoute) and call.guard is not None:
--- a/monsoontray/forwarding/replacing.py
+++ b/monsoontray/forwarding/replacing.py
@@ -13,6 +13,7 @@
 )
 from monsoontray.forwarding.attempts import choose_target, start_attempt_at
 from monsoontray.forwarding.routes import EntryRoute
+from monsoontray.forwarding.withdrawals import withdraw_attempt
 
 if TYPE_CHECKING:
     from monsoontray.forwarding.call import Call
@@ -76,8 +77,7 @@
         loads.record_outcome(call.server, True)
     else:
         call.record_outcome(True)
-    call.request.abort()
-    call.end_attempt(refusal)
+    call.end_attempt(refusal, withdraw_attempt(call))
     call.forwarder.report.record_retry(call, Retry(reason))
     attempts.offers += 1
     start_attempt_at(target, route, call)
--- a/monsoontray/forwarding/report.py
+++ b/monsoontray/forwarding/report.py
@@ -11,7 +11,7 @@
 from monsoontray.logs import logger
 
 if TYPE_CHECKING:
-    from monsoontray.decisions.outcomes import Refusal
+    from monsoontray.decisions.outcomes import Ran, Refusal
     from monsoontray.decisions.retries import CutResponse, Retry
     from monsoontray.forwarding.call import Call
     from monsoontray.forwarding.forwarder import Forwarder
@@ -101,6 +101,11 @@
         is_routine = is_soft_refusal(retry.reason)
         self._log("call sent again", call, is_routine, reason=retry.reason.value)
 
+    def record_withdrawal(self, call: Call, ran: Ran) -> None:
+        """Count and log what a guard said of a call that was taken back."""
+        self._metrics.count_withdrawal(ran.value)
+        self._log("call taken back", call, True, ran=ran.value)
+
     def record_cut_response(self, call: Call, cut: CutResponse) -> None:
         """Count and log a response that was cut short."""
         self._metrics.count_cut_response(cut.reason.value)
--- a/monsoontray/forwarding/sending.py
+++ b/monsoontray/forwarding/sending.py
@@ -194,6 +194,19 @@
             upstream.call = None
             upstream.close()
 
+    def detach_unanswered(self) -> UpstreamConnection | None:
+        """Return the connection to a guard that has the call and has not answered.
+
+        It is no longer used for the call. None is returned if there is no such guard.
+        """
+        upstream, hop = self.upstream, self.hop
+        if upstream is None or hop is None or not hop.is_guard or not self.may_run:
+            return None
+        if upstream.unsent_bytes or not upstream.awaits_head:
+            return None
+        self.upstream = None
+        return upstream
+
     def _find_ready_upstream(self) -> UpstreamConnection | None:
         """Return the connection if parts of the body may be sent on it now."""
         upstream = self.upstream
--- a/monsoontray/forwarding/sides.py
+++ b/monsoontray/forwarding/sides.py
@@ -203,6 +203,17 @@
     return route.customer.encode() if service is None else service
 
 
+@singledispatch
+def answers_withdrawals(side: Any) -> bool:
+    """Return whether a caller that ends its half of the connection reads on."""
+    return False
+
+
+@answers_withdrawals.register(GuardSide)
+def _(side: GuardSide) -> bool:
+    return True
+
+
 def _read_token(head: RequestHead) -> bytes:
     credentials = head.authorization
     if not credentials.startswith(_BEARER):
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -9,7 +9,7 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
-from monsoontray.decisions.outcomes import Reason
+from monsoontray.decisions.outcomes import Ran, Reason
 from monsoontray.forwarding.connection import Connection, configure_socket
 from monsoontray.forwarding.exchange import ReceivedResponse
 from monsoontray.forwarding.heads import (
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from monsoontray.forwarding.call import Call
     from monsoontray.forwarding.forwarder import Forwarder
+    from monsoontray.forwarding.withdrawals import Withdrawal
     from monsoontray.kernel.timers import Timer
     from monsoontray.settings.settings import Address
 
@@ -63,6 +64,7 @@
         "idle_deadline",
         "keep_alive_s",
         "must_close",
+        "withdrawal",
     )
 
     def __init__(
@@ -78,6 +80,7 @@
         #: Set on connections that are opened without a call.
         self._on_connected = on_connected
         self.call: Call | None = None
+        self.withdrawal: Withdrawal | None = None  # of the call that it carried
         self.connected = False
         self.idle_deadline = 0.0
         self.must_close = False  # no further request may be sent on this connection
@@ -102,8 +105,26 @@
         self._response = ReceivedResponse()
         self._parser.expect_response(method)
 
+    @property
+    def awaits_head(self) -> bool:
+        """Return whether the response to the call has not begun."""
+        return self.connected and self._response.awaits_head
+
+    def withdraw(self, withdrawal: Withdrawal) -> None:
+        """End this half of the connection, so that the guard drops the call."""
+        self.call = None
+        self.withdrawal = withdrawal
+        self.resume_reading()
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._fail(Reason.CONNECTION_LOST)
+
     def on_data(self, data: bytes) -> None:
         """Parse received bytes and pass the response to the call."""
+        if self.withdrawal is not None:
+            self.withdrawal.receive(self._parser.feed(data))
+            return
         if self.call is None:
             # Unsolicited bytes must not be read as the response to the next call, and
             # the start of a head must not stay in the parser.
@@ -226,11 +247,13 @@
         self, reason: Reason, outcome: ConnectOutcome = ConnectOutcome.FAILED
     ) -> None:
         """Close the connection and report the reason to its call."""
-        call = self.call
+        call, withdrawal = self.call, self.withdrawal
         self.call = None
         self.close()
         if call is not None:
             call.on_upstream_lost(reason)
+        if withdrawal is not None:
+            withdrawal.settle(Ran.UNKNOWN)
         self._report_connected(outcome)
 
 
--- a/monsoontray/metrics/service.py
+++ b/monsoontray/metrics/service.py
@@ -59,6 +59,12 @@
             ("reason",),
             registry=self.registry,
         )
+        self._withdrawals = Counter(
+            "monsoontray_withdrawals",
+            "Calls taken back from guards, by what these said of them",
+            ("ran",),
+            registry=self.registry,
+        )
         #: Complete responses; counted by the forwarder.
         self.responses = 0
         self.registry.register(ResponsesCollector(self))
@@ -126,6 +132,10 @@
         """Count a call that is sent to another server."""
         self._label_retries(reason).inc()
 
+    def count_withdrawal(self, ran: str) -> None:
+        """Count a call that was taken back from a guard."""
+        self._withdrawals.labels(ran).inc()
+
     def count_cut_response(self, reason: str) -> None:
         """Count a response that ended incomplete."""
         self._cut_responses.labels(reason).inc()
--- a/tests/test_forwarding/test_call_model.py
+++ b/tests/test_forwarding/test_call_model.py
@@ -81,6 +81,7 @@
         self.received = b""
         self.sent_continue = False  # asked for the body
         self.reported_not_run = False  # responded that the request did not run
+        self.withdrawal = None
         self.reported_rejected = False  # the server rejected it: counts as an attempt
         self.responded = False
 
@@ -91,8 +92,17 @@
         assert self.forwarder.now < DEADLINE, "bytes were sent after the deadline"
         self.received += data
 
+    @property
+    def awaits_head(self):
+        return self.connected and not self.responded
+
+    def withdraw(self, withdrawal):
+        self.call = None
+        self.withdrawal = withdrawal
+
     def close(self):
         self.call = None
+        self.withdrawal = None
 
     def pause_reading(self):
         pass
@@ -152,7 +162,7 @@
         self.report = SimpleNamespace(
             record_refused_call=lambda *a: None, record_retry=lambda *a: None,
             record_cut_response=lambda *a: None, record_cancelled_call=lambda *a: None,
-            record_response=lambda *a: None,
+            record_response=lambda *a: None, record_withdrawal=lambda *a: None,
         )  # fmt: skip
         self.sent_body = b""
         self.unsent_parts = [b"a" * 10, b"b" * 20, b"c" * 5]
@@ -277,6 +287,12 @@
                 ]
             elif not upstream.sent_continue:
                 actions += [self.send_continue_response, self.send_continue_response]
+        withdrawn = [each for each in self.upstreams if each.withdrawal is not None]
+        if withdrawn and self.random.random() < 0.5:
+            self.answer_withdrawal(self.random.choice(withdrawn))
+            return
+        if self.call.pending_refusal is not None:
+            actions = [lambda upstream: None]
         if self.random.random() < 0.02:
             actions = [self.disconnect_caller]
         self.random.choice(actions)(upstream)
@@ -323,6 +339,23 @@
         ):
             handle_response_end(self.call)
 
+    def answer_withdrawal(self, upstream):
+        """Let a guard that has the call say whether a server got it."""
+        ran = self.random.choice(tuple(Ran))
+        node_headers = {
+            REFUSAL_HEADER: Reason.WITHDRAWN.value.encode(),
+            RAN_HEADER: ran.value.encode(),
+            CALL_ID_HEADER: b"id",
+        }
+        if self.random.random() < 0.3:
+            # The word of an earlier call proves nothing.
+            node_headers[CALL_ID_HEADER] = b"earlier"
+        else:
+            upstream.reported_not_run = ran is not Ran.UNKNOWN
+            upstream.reported_rejected = ran is Ran.REJECTED
+        head = ResponseHead(503, [], node_headers, Framing.LENGTH, 0, False)
+        upstream.withdrawal.receive([head])
+
     def reject(self, upstream):
         upstream.reported_not_run = upstream.reported_rejected = True
         node_headers = {
@@ -402,6 +435,8 @@
         endings = [item for item in self.caller_outcomes if not isinstance(item, int)]
         assert len(endings) == 1, f"the caller got {self.caller_outcomes}"
         statuses = [item for item in self.caller_outcomes if isinstance(item, int)]
+        if statuses and statuses[0] in (502, 504) and endings == ["refused"]:
+            assert any(each.may_run() for each in self.upstreams), "known as not run"
         assert len(statuses) <= 1, f"the caller got {self.caller_outcomes}"
         if statuses and statuses[0] in NOT_RUN_STATUSES and endings == ["refused"]:
             assert not any(each.may_run() for each in self.upstreams), (
--- a/tests/test_forwarding/test_upstream.py
+++ b/tests/test_forwarding/test_upstream.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from monsoontray.decisions.outcomes import Reason
+from monsoontray.decisions.outcomes import Ran, Reason
 from monsoontray.forwarding import upstream as upstream_module
 from monsoontray.forwarding.heads import NO_EXTRA_HEADERS
 from monsoontray.forwarding.parsing import HeadLimits
@@ -161,3 +161,35 @@
     assert call.ended
     assert forwarder.kept == ([connection] if obstacle is None else [])
     assert connection.closed == (obstacle is not None)
+
+
+class FakeWithdrawal:
+    """Withdrawal that keeps what the guard says."""
+
+    def __init__(self):
+        self.events = []
+        self.outcomes = []
+        self.receive = self.events.extend
+        self.settle = self.outcomes.append
+
+
+def test_guard_reads_the_end_and_its_word_arrives(exchange):
+    connection, call, server = exchange
+    withdrawal = FakeWithdrawal()
+    connection.withdraw(withdrawal)
+    assert server.recv(1) == b""
+    send_and_read(connection, server, SIZED)
+    assert withdrawal.events[0].status == 200
+    assert not call.ended
+    assert withdrawal.outcomes == []
+
+
+@pytest.mark.parametrize("end", [socket.socket.close, reset])
+def test_guard_that_ends_without_a_word_leaves_the_outcome_unknown(exchange, end):
+    connection, call, server = exchange
+    withdrawal = FakeWithdrawal()
+    connection.withdraw(withdrawal)
+    end(server)
+    connection.handle_events(READABLE)
+    assert withdrawal.outcomes == [Ran.UNKNOWN]
+    assert call.lost is None
