Refuse answers with a status or version that is none

A status below 100 was read as informational: the caller got the bytes of the body without a head. The same held for the body of an informational answer. Statuses from 600 and versions other than 1.0 and 1.1 were passed on as answers.

All of these end the attempt as bad-response now.

--- a/monsoontray/forwarding/parsing.py
+++ b/monsoontray/forwarding/parsing.py
@@ -30,6 +30,8 @@
 
 _AUTHORIZATION_PREFIX = b"authorization: "
 _END_OF_LINE_BYTES = 2
+_STATUSES = range(100, 600)
+_RESPONSE_VERSIONS = frozenset(("1.0", "1.1"))
 
 
 class Malformed(Struct, frozen=True):
@@ -213,6 +215,7 @@
         """Emit the head, unless the response is informational."""
         self.head_in_progress = False
         status = self._parser.get_status_code()
+        _check_status_line(status, self._parser.get_http_version())
         self._informational = status < 200
         if self._informational:
             if status == CONTINUE_STATUS:
@@ -239,9 +242,9 @@
 
     def on_body(self, part: bytes) -> None:
         """Collect a body part."""
-        if self._body_forbidden:
+        if self._body_forbidden or self._informational:
             raise MalformedMessageError(
-                Reason.BAD_RESPONSE, "the response to a HEAD request has a body"
+                Reason.BAD_RESPONSE, "the response must not have a body"
             )
         self._body_parts.append(part)
 
@@ -264,6 +267,15 @@
     return head.framing is not Framing.UNTIL_CLOSE
 
 
+def _check_status_line(status: int, version: str) -> None:
+    if status not in _STATUSES:
+        detail = f"status {status:03} is out of range"
+        raise MalformedMessageError(Reason.BAD_RESPONSE, detail)
+    if version not in _RESPONSE_VERSIONS:
+        detail = f"HTTP version {version} is not supported"
+        raise MalformedMessageError(Reason.BAD_RESPONSE, detail)
+
+
 def _check_limits(
     collected: HeaderCollector, limits: HeadLimits, read_bytes: int
 ) -> None:
