--- a/monsoontray/metrics/families.py
+++ b/monsoontray/metrics/families.py
@@ -35,10 +35,10 @@
         self._lock = Lock()
         self.value = 0.0
 
-    def inc(self) -> None:
-        """Add one."""
+    def inc(self, amount: float = 1.0) -> None:
+        """Add one, or an amount."""
         with self._lock:
-            self.value += 1.0
+            self.value += amount
 
     def set(self, value: float) -> None:
         """Replace the number."""
@@ -108,9 +108,9 @@
 
     __slots__ = ()
 
-    def inc(self) -> None:
-        """Add one to the child without labels."""
-        self.labels().inc()
+    def inc(self, amount: float = 1.0) -> None:
+        """Add one, or an amount, to the child without labels."""
+        self.labels().inc(amount)
 
 
 class Gauge(Family):
