Check a configuration of routes before it is sent

Cause: an operator saw a mistake in a configuration only once it was in force. Change: the command check-routes lists errors, entries that never match or get no requests, limits that contradict each other, and what differs from a file or from what the platform's store has. The decisions run without a network; keys are counted and never shown.

--- a/monsoontray/commands/cli.py
+++ b/monsoontray/commands/cli.py
@@ -185,6 +185,24 @@
         else:
             print(f"valid: node {settings.get_string('node')!r}")
 
+    def check_routes(
+        self, file: str, in_force: str = "", store: str = "", json: bool = False
+    ) -> None:
+        """Check a configuration of routes before it is sent to the platform's store.
+
+        It is compared with the file --in-force, or with what the --store (IP:PORT)
+        has. The exit code is 1 if there are errors.
+        """
+        from monsoontray.commands.scrutiny import check_routes_file, render_report
+
+        report = check_routes_file(str(file), str(in_force), str(store))
+        if json:
+            _print_json(report)
+        else:
+            print(render_report(report))
+        if report.has_errors:
+            sys.exit(EXIT_REFUSED)
+
     def version(self, json: bool = False) -> None:
         """Show the version of monsoontray."""
         if json:
