Learn how many calls at once a server takes well

Some servers slow down long before they are full, and the guards sent them as many calls as they announce. The guard now learns from the calls that end how the time of a call grows with the calls beside it, and lowers the limit down to a share of the slots (capacity_min_share) where more calls give no more throughput. The learned limit is reported to callers' nodes as the server's slots.

--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from monsoontray.decisions.capacity import Capacity
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.pace import Pace
 from monsoontray.decisions.rollouts import VersionSuspicion
@@ -102,6 +103,7 @@
         "_start_times",
         "_unsent",
         "busy_refusals",
+        "capacity",
         "closed_reason",
         "confirmed",
         "consecutive_failures",
@@ -125,8 +127,10 @@
         queue_limit: int,
         cold: ColdLimits | None = None,
         cold_start_at: float = -math.inf,
+        capacity: Capacity | None = None,
     ) -> None:
         self.record = record
+        self.capacity = capacity  # what the server takes; None: as it announces
         self.queue_limit = queue_limit
         self.in_use = 0
         self.waiting: dict[Any, WaitingCall] = {}
@@ -166,7 +170,10 @@
 
     def get_capacity(self) -> int:
         """Return how many calls may run at once."""
-        return min(self.record.slots, self.record.connections)
+        slots = min(self.record.slots, self.record.connections)
+        if self.capacity is None:
+            return slots
+        return min(slots, self.capacity.get_limit())
 
     def responded_recently(self, now: float) -> bool:
         """Return whether the server responded too recently to have restarted."""
@@ -180,7 +187,9 @@
 
     def report_load(self, now: float, route: str = "") -> LoadReport:
         """Return the load that other nodes choose servers by, for calls of a route."""
-        slots = self.get_capacity()
+        slots = min(self.record.slots, self.record.connections)
+        if self.capacity is not None:
+            slots = min(slots, self.capacity.get_learned_limit())
         if self.is_cold(now):
             slots = max(1, min(slots, int(self.record.cold_per_s * self.service_s)))
         calls = self.in_use + len(self.waiting)
@@ -253,9 +262,11 @@
             self._start_times.append(now)
             self._drop_old_start_times(now)
 
-    def record_unsent(self, call: Any) -> None:
+    def record_unsent(self, call: Any, now: float = 0.0) -> None:
         """Record that a call gives up its slot, perhaps without having been sent."""
         self._unsent.discard(call)
+        if self.capacity is not None:
+            self.capacity.end(call, now)
 
     def release_slot(self, now: float) -> Any | None:
         """Release a slot; return the queued call that gets it, if any."""
@@ -301,16 +312,34 @@
         mean_s = self.run_times.get(route, seconds)
         self.run_times[route] = mean_s + (seconds - mean_s) * SERVICE_TIME_WEIGHT
 
+    def describe_slowing(self) -> float | None:
+        """Return the learned elasticity of the calls' time; None if not learned."""
+        if self.capacity is None:
+            return None
+        return round(self.capacity.get_estimate().elasticity, 2)
+
+    def observe_capacity(
+        self, call: Any, route: str, seconds: float, now: float
+    ) -> None:
+        """Learn what the server takes from a call that succeeded."""
+        if self.capacity is not None and not self.is_cold(now):
+            self.capacity.observe(call, route, seconds, now)
+
     def remove_routes_except(self, routes: Collection[str]) -> None:
         """Remove the times of routes that are not listed."""
+        if self.capacity is not None:
+            self.capacity.remove_routes_except(routes)
         for route in self.run_times.keys() - routes:
             del self.run_times[route]
 
     def update_record(self, record: ServerRecord, now: float) -> list[Any]:
         """Store a changed record; return the queued calls that get a slot."""
-        if record.born != self.record.born:
+        is_restarted = record.born != self.record.born
+        if is_restarted:
             self.pace = None
         self.record = record
+        if self.capacity is not None:
+            self.capacity.update(min(record.slots, record.connections), is_restarted)
         granted = []
         while (call := self.grant_waiting(now)) is not None:
             granted.append(call)
@@ -339,6 +368,8 @@
     def _start(self, call: Any, now: float) -> None:
         self.in_use += 1
         self._unsent.add(call)
+        if self.capacity is not None:
+            self.capacity.start(call, now)
         if self.pace is not None:
             self.pace.count_start(now)
 
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -305,6 +305,8 @@
         if guard is not None:
             seconds = self.now - self._slot_granted_at
             guard.record_result(seconds, failed, self.route.name)
+            if not failed:
+                guard.observe_capacity(self, self.route.name, seconds, self.now)
             self.forwarder.guards.record_call(guard, self.route.name, seconds, failed)
 
     def record_unfinished(self) -> None:
--- a/monsoontray/forwarding/guards.py
+++ b/monsoontray/forwarding/guards.py
@@ -7,6 +7,7 @@
 
 from msgspec.structs import replace
 
+from monsoontray.decisions.capacity import Capacity
 from monsoontray.decisions.guard import COLD_WINDOW_S, ColdLimits, GuardState
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.rollouts import ServerEvidence
@@ -87,10 +88,7 @@
             self._addresses[name] = local.address
             current = self._guards.get(name)
             if current is None:
-                limit = forwarder.limits.guard_queue_length
-                current = GuardState(
-                    local.record, limit, self._cold_limits, self._cold_start_at
-                )
+                current = self._create_guard(local.record)
                 self._guards[name] = current
             current.confirmed = True
             record = self._apply_policy(local.record)
@@ -158,7 +156,7 @@
 
     def release_slot(self, guard: GuardState, call: Call) -> None:
         """Release the slot of a call, and grant it to the next waiting call."""
-        guard.record_unsent(call)
+        guard.record_unsent(call, self._forwarder.now)
         self._refuse_overdue(guard)
         waiting = guard.release_slot(self._forwarder.now)
         if waiting is not None:
@@ -225,6 +223,18 @@
         """Return how many calls wait for a slot."""
         return sum(len(guard.waiting) for guard in self._guards.values())
 
+    def _create_guard(self, record: ServerRecord) -> GuardState:
+        limits = self._forwarder.limits
+        slots = min(record.slots, record.connections)
+        share = limits.capacity_min_share
+        return GuardState(
+            record,
+            limits.guard_queue_length,
+            self._cold_limits,
+            self._cold_start_at,
+            Capacity(slots, share) if share < 1.0 else None,
+        )
+
     def _log_loads(self) -> None:
         """Log what determines the share of the calls that the local servers get."""
         for name, guard in self._guards.items():
@@ -234,6 +244,8 @@
                 in_use=guard.in_use,
                 waiting=len(guard.waiting),
                 slots=guard.get_capacity(),
+                announced_slots=guard.record.slots,
+                slowing=guard.describe_slowing(),
                 ended=guard.ended_calls,
                 busy=guard.busy_refusals,
                 service_ms=round(guard.service_s * _MS_PER_S, 1),
--- a/monsoontray/settings/declarations.py
+++ b/monsoontray/settings/declarations.py
@@ -304,6 +304,15 @@
         minimum=0,
         maximum=10_000,
     ),
+    Declaration(
+        "capacity_min_share",
+        float,
+        "Share of a backend server's slots that its learned limit keeps at least; "
+        "1 means that the limit isn't learned.",
+        default=1.0,
+        minimum=0.5,
+        maximum=1.0,
+    ),
     Declaration(
         "max_attempts",
         int,
--- a/tests/test_forwarding/test_guards.py
+++ b/tests/test_forwarding/test_guards.py
@@ -80,7 +80,7 @@
     forwarder = SimpleNamespace(
         now=0.5,
         containment=SimpleNamespace(update_servers=lambda records: None),
-        limits=SimpleNamespace(guard_queue_length=9),
+        limits=SimpleNamespace(guard_queue_length=9, capacity_min_share=1.0),
         find_calls_at=lambda guard: list(calls_at),
         route_table=None,
         location=SimpleNamespace(zone="zone-a"),
