--- a/tests/test_forwarding/test_call_model.py
+++ b/tests/test_forwarding/test_call_model.py
@@ -164,6 +164,9 @@
             record_cut_response=lambda *a: None, record_cancelled_call=lambda *a: None,
             record_response=lambda *a: None, record_withdrawal=lambda *a: None,
         )  # fmt: skip
+        self.usage = SimpleNamespace(
+            count=lambda call: None, take_back=lambda call: None
+        )
         self.sent_body = b""
         self.unsent_parts = [b"a" * 10, b"b" * 20, b"c" * 5]
         self.length = sum(map(len, self.unsent_parts))
