Let a node that stops leave its last counts to another

Such a node now leaves them to any other, which tells the next holder. A new holder reports 1.5 s after its claim, not 2.5 s: a window missed its time by that.

--- a/monsoontray/decisions/usage.py
+++ b/monsoontray/decisions/usage.py
@@ -14,10 +14,11 @@
 
 MAX_WINDOWS = 8  # that a node keeps until they are recorded
 MAX_CUSTOMERS = 10_000  # counted in one window by one node
+MAX_KEPT_NODES = 200  # whose last sums a node keeps
 SETTLE_S = 0.2  # a server's rejection arrives within this time
 #: Time from the end of a window until it may be recorded, and from the start of a term.
 MIN_COLLECT_S = 0.8
-MIN_TERM_S = 2.5
+MIN_TERM_S = 1.5
 COLLECT_SHARE = 0.7  # of the time until the report is due
 TELLS_PER_S = 100.0  # that the holder wants from all nodes together
 #: Windows before the current one that a holder still collects.
@@ -104,6 +105,31 @@
         return {window: dict(sums) for window, sums in self._windows.items()}
 
 
+class KeptSums:
+    """Last sums of nodes that stopped, until the holder has them."""
+
+    __slots__ = ("_kept",)
+
+    def __init__(self) -> None:
+        self._kept: dict[tuple[str, int], NodeUsage] = {}
+
+    def add(self, usage: NodeUsage) -> None:
+        """Keep the sums of a node that has stopped."""
+        if len(self._kept) < MAX_KEPT_NODES:
+            self._kept[usage.node, usage.incarnation] = usage
+
+    def remove(self, usage: NodeUsage) -> None:
+        """Forget the sums, since the holder has them."""
+        self._kept.pop((usage.node, usage.incarnation), None)
+
+    def get(self, recorded: int) -> list[NodeUsage]:
+        """Return the sums that are not recorded; forget the others."""
+        for key, usage in list(self._kept.items()):
+            if max(usage.windows, default=0) <= recorded:
+                del self._kept[key]
+        return list(self._kept.values())
+
+
 class WindowCollector:
     """The sums of all nodes, at the node that holds the duty."""
 
--- a/monsoontray/usage/service.py
+++ b/monsoontray/usage/service.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from functools import partial, singledispatch
+from functools import singledispatch
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -15,20 +15,13 @@
     WindowCollector,
 )
 from monsoontray.decoding.errors import DecodingError
-from monsoontray.discovery.messages import DescribeNodes
-from monsoontray.http.client import HttpRequest
-from monsoontray.http.exchanges import HttpExchange
-from monsoontray.kernel.errors import KernelError
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.kernel.sockets import SocketTask
 from monsoontray.logs import logger
-from monsoontray.settings.settings import parse_address
 from monsoontray.usage.encoding import (
     UsageAnswer,
-    decode_answer,
     decode_offer,
     encode_answer,
-    encode_offer,
 )
 from monsoontray.usage.messages import (
     DutyHeld,
@@ -40,26 +33,18 @@
     WindowCollected,
     WindowsRecorded,
 )
+from monsoontray.usage.telling import Teller
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
-    from monsoontray.decisions.directory import ListedNode
     from monsoontray.decisions.duty import Holder
-    from monsoontray.http.client import HttpResponse
-    from monsoontray.kernel.mailbox import Reply
     from monsoontray.kernel.timers import Timer
     from monsoontray.settings.settings import Settings
 
 NAME = "usage"
-PATH = "/usage-counts"
 MIN_TELL_INTERVAL_S = 1.0
 #: Random part of a node's first tell after a window, so that not all tell at once.
 TELL_SPREAD_SHARE = 0.4  # of the interval
-TIMEOUT_S = 0.3  # of an exchange
-MEMBERSHIP_TIMEOUT_S = 0.2
-STOP_LIMIT_S = 0.3  # for the last exchange of a node that stops
-OK_STATUS = 200
+STOP_LIMIT_S = 0.7  # for the last exchanges of a node that stops
 
 
 class Usage(SocketTask):
@@ -69,7 +54,6 @@
         super().__init__(NAME, kernel, handle_message)
         settings: Settings = kernel.find("settings").settings
         self._node = settings.get_string("node")
-        self._zone = settings.get_string("zone")
         self._window_s = settings.get_float("usage_window_s")
         self._metrics = kernel.find("metrics")
         self._random = Random(self._node)
@@ -81,7 +65,7 @@
             self._window_s, settings.get_float("usage_late_s")
         )
         self._counted_until = self.now  # monotonic seconds
-        self._holder: Holder | None = None
+        self._teller = Teller(self, self._random, self._handle_answer)
         self._is_holder = False
         self._check_timer: Timer | None = None
         self._leaving = False
@@ -93,13 +77,10 @@
         self._take()
 
     def begin_stop(self, deadline: float) -> None:
-        """Tell the holder what is left."""
+        """Tell the holder what is left, or another node that tells the next one."""
         self._leaving = True
         self.timers.add(min(deadline, self.now + STOP_LIMIT_S), self.stop_serving)
-        if self._is_holder or self._holder is None:
-            self.stop_serving()
-        else:
-            self._send(self._build_usage(), is_last=True)
+        self._teller.leave(self._build_usage(), self.stop_serving)
 
     def handle_counted(self, message: UsageCounted) -> None:
         """Add what was counted, and tell it."""
@@ -126,17 +107,19 @@
             self._collector.add(usage)
             message.reply.put(self._build_answer())
             self._check_window()
-        elif self._holder is None or passed_on:
+            return
+        if usage.leaving and not passed_on:
+            self._teller.keep(usage)
+            self._teller.tell_kept(self._sums.recorded)
+        if self._teller.holder is None or passed_on or usage.leaving:
             message.reply.put(b"")
         else:
-            body = encode_offer(usage, passed_on=True)
-            on_end = partial(self._answer_passed, message.reply)
-            self._post(self._holder.address, body, on_end)
+            self._teller.pass_on(usage, message.reply)
 
     def handle_holder(self, holder: Holder | None) -> None:
         """Tell a new holder everything that is not recorded."""
-        is_new = holder is not None and holder != self._holder
-        self._holder = holder
+        is_new = holder is not None and holder != self._teller.holder
+        self._teller.holder = holder
         if is_new and not self._is_holder:
             self.timers.add(self.now + self._compute_spread(), self._tell)
 
@@ -151,8 +134,8 @@
     def end_term(self) -> None:
         """Leave the counts to the next holder."""
         self._is_holder = False
-        if self._holder is not None and self._holder.node == self._node:
-            self._holder = None
+        if self._teller.is_own_duty():
+            self._teller.holder = None
         self._collector.end()
 
     def mark_recorded(self, recorded: int) -> None:
@@ -176,12 +159,13 @@
         """Tell the holder this node's sums, if there is something new."""
         usage = self._build_usage()
         if self._is_holder:
-            self._collector.add(usage)
+            for each in (usage, *self._teller.take_kept(self._sums.recorded)):
+                self._collector.add(each)
             self._check_window()
-        elif self._holder is not None and (
-            usage.windows or usage.complete_through > self._told_through
-        ):
-            self._send(usage)
+            return
+        self._teller.tell_kept(self._sums.recorded)
+        if usage.windows or usage.complete_through > self._told_through:
+            self._teller.tell(usage)
 
     def _build_usage(self) -> NodeUsage:
         self._sequence += 1
@@ -196,82 +180,17 @@
             self._leaving,
         )
 
-    def _send(self, usage: NodeUsage, is_last: bool = False) -> None:
-        assert self._holder is not None
-        body = encode_offer(usage)
-        on_end = partial(self._handle_answer, usage, is_last, False)
-        self._post(self._holder.address, body, on_end)
-
-    def _post(self, address: str, body: bytes, on_end: Any) -> None:
-        deadline = self.now + TIMEOUT_S
-        request = HttpRequest(
-            "POST",
-            parse_address(address),
-            PATH,
-            connect_deadline=deadline,
-            response_deadline=deadline,
-            body=body,
-        )
-        HttpExchange(self, request, on_end)
-
     def _handle_answer(
-        self,
-        usage: NodeUsage,
-        is_last: bool,
-        was_passed: bool,
-        response: HttpResponse | None,
+        self, usage: NodeUsage, answer: UsageAnswer, was_passed: bool
     ) -> None:
-        """Take over what the holder answers; go through another node if it does not."""
-        answer = self._decode_answer(response)
-        if answer is not None:
-            self._told_through = usage.complete_through
-            if not was_passed:
-                self._time.correct(answer.time, self.now)
-            self._interval_s = max(answer.interval_s, MIN_TELL_INTERVAL_S)
-            self._sums.mark_recorded(answer.recorded)
-            self.kernel.post("usage-duty", WindowsRecorded(answer.recorded))
-        elif not was_passed and not is_last:
-            self._pass_through_another(usage)
-        if is_last:
-            self.stop_serving()
-
-    def _pass_through_another(self, usage: NodeUsage) -> None:
-        """Tell the holder through a node of a third zone, or of any other one."""
-        holder = self._holder
-        if holder is None or self._is_holder:
-            return
-        others = [
-            each
-            for each in self._list_nodes()
-            if each.node not in (self._node, holder.node) and not each.stopping
-        ]
-        zones = {each.zone for each in self._list_nodes() if each.node == holder.node}
-        third = [each for each in others if each.zone not in {self._zone, *zones}]
-        candidates = third or others
-        if candidates:
-            chosen = self._random.choice(candidates)
-            on_end = partial(self._handle_answer, usage, False, True)
-            self._post(chosen.peer_address, encode_offer(usage), on_end)
-
-    def _list_nodes(self) -> Sequence[ListedNode]:
-        deadline = self.clock.now() + MEMBERSHIP_TIMEOUT_S
-        try:
-            nodes: Sequence[ListedNode] = self.kernel.ask(
-                "membership", DescribeNodes, deadline
-            )
-        except KernelError:
-            return ()
-        return nodes
-
-    def _decode_answer(self, response: HttpResponse | None) -> UsageAnswer | None:
-        if response is None or response.status != OK_STATUS or not response.body:
-            return None
-        try:
-            return decode_answer(response.body)
-        except DecodingError as error:
-            self._metrics.count_refused_entry("usage")
-            logger.warning("answer about usage refused: {}", error)
-            return None
+        """Take over what the holder answers."""
+        self._told_through = usage.complete_through
+        # An answer that waited at another node says nothing of the time.
+        if not was_passed:
+            self._time.correct(answer.time, self.now)
+        self._interval_s = max(answer.interval_s, MIN_TELL_INTERVAL_S)
+        self._sums.mark_recorded(answer.recorded)
+        self.kernel.post("usage-duty", WindowsRecorded(answer.recorded))
 
     def _build_answer(self) -> bytes:
         answer = UsageAnswer(
@@ -281,11 +200,6 @@
         )
         return encode_answer(answer)
 
-    def _answer_passed(self, reply: Reply, response: HttpResponse | None) -> None:
-        """Return the holder's answer to the node that could not reach it."""
-        is_answer = response is not None and response.status == OK_STATUS
-        reply.put(response.body if is_answer and response is not None else b"")
-
     def _check_window(self) -> None:
         """Hand over the windows that may be recorded, and wait for the next one."""
         now = self._time.estimate(self.now)
--- a/tests/test_usage/test_service.py
+++ b/tests/test_usage/test_service.py
@@ -10,7 +10,7 @@
 from monsoontray.decisions.duty import Holder
 from monsoontray.http.client import HttpResponse
 from monsoontray.kernel.timers import Timers
-from monsoontray.usage import service as module
+from monsoontray.usage import telling as module
 from monsoontray.usage.messages import (
     DutyHeld,
     DutyLost,
@@ -197,6 +197,25 @@
     assert network.find_collected(0)[200] >= 50 + 5 * 2 * 5
 
 
+@pytest.mark.parametrize("stopped", [0, 2])
+def test_node_that_stops_leaves_its_counts_to_another_for_the_next_holder(
+    network, stopped
+):
+    network.set_holder(0)
+    network.run(3.0)
+    network.kernels[0].deliver(DutyLost())
+    kernel = network.kernels[stopped]
+    for each in network.kernels:
+        each.deliver(HolderChanged(None))
+    kernel.deliver(UsageCounted({200: {"a": 50}}, network.clock.now()))
+    kernel.usage.begin_stop(network.clock.now() + 1.0)
+    network.run(0.5)
+    kernel.usage._tell = lambda: None  # it has ended
+    network.set_holder(1)
+    network.run(4.0)
+    assert network.find_collected(1)[200] >= 50 + 5 * 2 * 5
+
+
 def test_holder_of_a_large_fleet_is_told_less_often(monkeypatch):
     monkeypatch.setattr("monsoontray.decisions.usage.TELLS_PER_S", 2.0)
     network = Network(6, monkeypatch)
