--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from collections.abc import Collection
 from heapq import heappop, heappush
 from itertools import count
@@ -13,6 +12,7 @@
 from msgspec.structs import replace
 
 from monsoontray.decisions.capacity import Capacity
+from monsoontray.decisions.cold import ColdLimits, ColdWindow
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.pace import Pace
 from monsoontray.decisions.rollouts import VersionSuspicion
@@ -23,11 +23,6 @@
     update_failure_rate,
 )
 
-COLD_WINDOW_S = 1.05  # a cold server's limit is per second; 50 ms of margin
-COLD_LIMIT_SHARE = 0.95  # share of the limit in use: transit times vary
-#: Share of the limit that is used in a guard's first window, because calls sent by a
-#: previous process of the node may still arrive in it.
-FIRST_COLD_LIMIT_SHARE = 0.8
 SERVICE_TIME_WEIGHT = 0.1  # of the latest call in the moving average
 MIN_SERVICE_TIME_SHARE = 0.7  # of the mean; the least that a call is assumed to take
 #: A call that will miss its objective is queued only if it is expected to end within
@@ -51,13 +46,6 @@
 RECENT_RESPONSE_S = 0.5
 
 
-class ColdLimits(Struct, frozen=True):
-    """Limit on the call rate of a cold server."""
-
-    factor: float = 1.0  # of the rate that the server announces
-    slack: float = 0.0  # calls a second in addition
-
-
 class Granted(Struct, frozen=True):
     """Outcome of a request for a slot: the call has one."""
 
@@ -96,12 +84,8 @@
 
     __slots__ = (
         "_cold",
-        "_cold_start_at",
-        "_first_cold_at",
         "_queue",
         "_sequence",
-        "_start_times",
-        "_unsent",
         "busy_refusals",
         "capacity",
         "closed_reason",
@@ -148,14 +132,7 @@
         self.busy_refusals = 0  # calls refused because no slot was free
         self.last_probe_at = -math.inf
         self.suspicion = VersionSuspicion()
-        self._cold = cold or ColdLimits()
-        self._start_times: deque[float] = deque()  # when requests were sent
-        self._unsent: set[Any] = set()  # calls that hold a slot and were not sent yet
-        #: Until then an earlier process of this node may have used up a cold server's
-        #: limit, so the server gets no call.
-        self._cold_start_at = cold_start_at
-        #: Time of the first request while the server was cold.
-        self._first_cold_at: float | None = None
+        self._cold = ColdWindow(cold or ColdLimits(), cold_start_at)
         self._queue: list[tuple[tuple[bool, int], float, int, WaitingCall]] = []
         self._sequence = count()
 
@@ -220,7 +197,7 @@
             return Refusal(Reason.SERVER_FAILING, Ran.NOT_RUN, PROBE_INTERVAL_S, load)
         if not self._is_within_cold_limit(now):
             return Refusal(
-                Reason.SERVER_COLD, Ran.NOT_RUN, self._compute_cold_wait(now)
+                Reason.SERVER_COLD, Ran.NOT_RUN, self._cold.compute_wait(now)
             )
         must_queue = self.pace is not None and (
             bool(self.waiting) or not self._is_within_pace(now)
@@ -257,14 +234,13 @@
 
     def record_sent(self, call: Any, now: float) -> None:
         """Record that the request of a call that holds a slot is sent."""
-        self._unsent.discard(call)
+        self._cold.remove_unsent(call)
         if self.record.cold_per_s:
-            self._start_times.append(now)
-            self._drop_old_start_times(now)
+            self._cold.count_sent(now)
 
     def record_unsent(self, call: Any, now: float = 0.0) -> None:
         """Record that a call gives up its slot, perhaps without having been sent."""
-        self._unsent.discard(call)
+        self._cold.remove_unsent(call)
         if self.capacity is not None:
             self.capacity.end(call, now)
 
@@ -367,7 +343,7 @@
 
     def _start(self, call: Any, now: float) -> None:
         self.in_use += 1
-        self._unsent.add(call)
+        self._cold.add_unsent(call)
         if self.capacity is not None:
             self.capacity.start(call, now)
         if self.pace is not None:
@@ -392,30 +368,7 @@
     def _is_within_cold_limit(self, now: float) -> bool:
         if not self.is_cold(now):
             return True
-        if now < self._cold_start_at:
-            return False
-        self._drop_old_start_times(now)
-        max_starts = self.record.cold_per_s * self._cold.factor + self._cold.slack
-        if self._first_cold_at is None:
-            self._first_cold_at = now
-        is_first_window = now - self._first_cold_at < COLD_WINDOW_S
-        limit = max_starts * (
-            FIRST_COLD_LIMIT_SHARE if is_first_window else COLD_LIMIT_SHARE
-        )
-        # An unsent request may arrive at any time, however long ago it got its slot.
-        return len(self._start_times) + len(self._unsent) + 1 <= limit
-
-    def _compute_cold_wait(self, now: float) -> float:
-        """Return the seconds until a cold server accepts the next call."""
-        if now < self._cold_start_at:
-            return self._cold_start_at - now
-        if not self._start_times:
-            return COLD_WINDOW_S
-        return self._start_times[0] + COLD_WINDOW_S - now
-
-    def _drop_old_start_times(self, now: float) -> None:
-        while self._start_times and self._start_times[0] + COLD_WINDOW_S <= now:
-            self._start_times.popleft()
+        return self._cold.allows(self.record.cold_per_s, now)
 
     def _estimate_wait(self, rank: tuple[bool, int]) -> float:
         """Return the seconds that a call of this rank would be queued."""
--- a/monsoontray/forwarding/guards.py
+++ b/monsoontray/forwarding/guards.py
@@ -8,7 +8,8 @@
 from msgspec.structs import replace
 
 from monsoontray.decisions.capacity import Capacity
-from monsoontray.decisions.guard import COLD_WINDOW_S, ColdLimits, GuardState
+from monsoontray.decisions.cold import COLD_WINDOW_S, ColdLimits
+from monsoontray.decisions.guard import GuardState
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.rollouts import ServerEvidence
 from monsoontray.forwarding.attempts import send_to_local_server
--- a/tests/test_decisions/test_guard.py
+++ b/tests/test_decisions/test_guard.py
@@ -5,15 +5,14 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
+from monsoontray.decisions.cold import COLD_WINDOW_S, ColdLimits
 from monsoontray.decisions.guard import (
-    COLD_WINDOW_S,
     FAILURE_THRESHOLD,
     LATE_WAIT_SHARE,
     MIN_SERVICE_TIME_SHARE,
     PROBE_INTERVAL_S,
     RECENT_RESPONSE_S,
     WRITE_PROBE_INTERVAL_S,
-    ColdLimits,
     Granted,
     GuardState,
     Queued,
