Offer no calls to servers of other zones that just were full

A call whose near servers are busy was offered to up to three others without waiting. In overload these refused it as well: at a server that ended 492 calls, 1,334 offers were refused. With full_memory_ms a server of another zone that reported no free slot within that time gets no such offer, and the call waits at the server that is expected to answer first.

--- a/monsoontray/forwarding/attempts.py
+++ b/monsoontray/forwarding/attempts.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from monsoontray.decisions.guard import Granted, Queued, SlotRequest
+from monsoontray.decisions.offering import find_wasted_offers
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.retries import compute_unready_retry
 from monsoontray.decisions.servers import (
@@ -79,7 +80,14 @@
     candidates = call.forwarder.find_candidates(route.service, route.name, bool(tried))
     if attempts.is_no_wait():
         excluded = {*tried, *attempts.busy}
-        endpoint = _choose(candidates, excluded, route, call)
+        wasted = find_wasted_offers(
+            candidates,
+            call.forwarder.location,
+            call.forwarder.loads,
+            call.forwarder.now,
+            call.forwarder.limits.full_memory_s,
+        )
+        endpoint = _choose(candidates, excluded | wasted, route, call)
         if endpoint is not None and not _should_wait_instead(endpoint, call):
             untried_servers = {each.server for each in candidates} - excluded
             # If no other server can be asked, the call may wait at this one.
--- a/monsoontray/forwarding/limits.py
+++ b/monsoontray/forwarding/limits.py
@@ -25,6 +25,7 @@
     replay_buffer_bytes: int
     guard_queue_length: int
     capacity_min_share: float  # of a server's slots; 1.0: nothing is learned
+    full_memory_s: float  # how long a far server that was full gets no offer
     max_attempts: int
     stop_notice_s: float  # time for callers to switch nodes before this one stops
 
@@ -45,6 +46,7 @@
         replay_buffer_bytes=settings.get_int("replay_buffer_bytes"),
         guard_queue_length=settings.get_int("guard_queue_length"),
         capacity_min_share=settings.get_float("capacity_min_share"),
+        full_memory_s=settings.get_seconds("full_memory_ms"),
         max_attempts=settings.get_int("max_attempts"),
         stop_notice_s=settings.get_seconds("stop_notice_ms"),
     )
--- a/monsoontray/settings/declarations.py
+++ b/monsoontray/settings/declarations.py
@@ -313,6 +313,16 @@
         minimum=0.5,
         maximum=1.0,
     ),
+    Declaration(
+        "full_memory_ms",
+        int,
+        "Time for which a backend server of another zone that reported no free slot "
+        "gets no calls that must not wait there.",
+        default=0,
+        unit="ms",
+        minimum=0,
+        maximum=10_000,
+    ),
     Declaration(
         "max_attempts",
         int,
--- a/tests/test_forwarding/test_attempts.py
+++ b/tests/test_forwarding/test_attempts.py
@@ -7,7 +7,7 @@
 
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal
 from monsoontray.decisions.retries import AttemptHistory
-from monsoontray.decisions.servers import Endpoint, LoadView, Location
+from monsoontray.decisions.servers import Endpoint, LoadReport, LoadView, Location
 from monsoontray.forwarding.attempts import choose_target
 from monsoontray.forwarding.heads import Framing
 from monsoontray.forwarding.routes import EntryRoute
@@ -22,12 +22,13 @@
 SLOTS_BUSY = Refusal(Reason.SLOTS_BUSY, Ran.NOT_RUN)
 
 
-def build_call():
+def build_call(full_memory_s=0.0):
     forwarder = SimpleNamespace(
         now=0.0,
         loads=LoadView(),
         location=Location("node-0", "norte", "zone-a"),
         random=Random(1),
+        limits=SimpleNamespace(full_memory_s=full_memory_s),
         find_candidates=lambda service, route, is_retry: ENDPOINTS,
     )
     head = SimpleNamespace(framing=Framing.EMPTY, length=0)
@@ -69,3 +70,33 @@
     for endpoint in ENDPOINTS:
         call.forwarder.loads.mark_unreachable(endpoint.server)
     assert choose_target(ROUTE, call) is not None
+
+
+def test_call_of_an_overloaded_service_waits_instead_of_asking_far_servers_in_vain():
+    """On corrib-loans a server refused three offers for each call that it ran."""
+    call = build_call(full_memory_s=1.0)
+    loads = call.forwarder.loads
+    for server in FAR:
+        loads.record_response(server, LoadReport(30, 9, 0.1), 0.0)
+    for server in NEAR:
+        loads.record_response(server, LoadReport(12, 9, 0.1), 0.0)
+        call.attempts.record_failure(server, SLOTS_BUSY)
+    target = choose_target(ROUTE, call)
+    assert target.endpoint.server in NEAR
+    assert target.may_wait
+    loads.record_response("i-4", LoadReport(2, 9, 0.1), 0.5)
+    call.forwarder.now = 0.5
+    assert choose_target(ROUTE, call).endpoint.server == "i-4"
+
+
+def test_far_server_that_was_full_is_asked_again_after_a_time():
+    call = build_call(full_memory_s=1.0)
+    for server in FAR:
+        call.forwarder.loads.record_response(server, LoadReport(9, 9, 0.1), 0.0)
+    for server in NEAR:
+        call.attempts.record_failure(server, SLOTS_BUSY)
+    assert choose_target(ROUTE, call).may_wait
+    call.forwarder.now = 1.0
+    target = choose_target(ROUTE, call)
+    assert target.endpoint.server in FAR
+    assert not target.may_wait
--- a/tests/test_forwarding/test_call_model.py
+++ b/tests/test_forwarding/test_call_model.py
@@ -125,7 +125,7 @@
         self.location = LOCATION
         self.http_profile = PLATFORM_PROFILE
         self.limits = SimpleNamespace(
-            replay_buffer_bytes=1 << 20, stream_buffer_bytes=1 << 20
+            replay_buffer_bytes=1 << 20, stream_buffer_bytes=1 << 20, full_memory_s=0.0
         )
         self.loads = LoadView()
         self.budgets = RetryBudgets(FleetBounds(0.2, 10.0, 1000.0))
--- a/tests/test_forwarding/test_guards.py
+++ b/tests/test_forwarding/test_guards.py
@@ -7,8 +7,8 @@
 import pytest
 from msgspec.structs import replace
 
+from monsoontray.decisions.cold import ColdLimits
 from monsoontray.decisions.guard import (
-    ColdLimits,
     Granted,
     GuardState,
     Queued,
