Move the order of waiting calls into a decision of its own

Whether a waiting call still meets its objective was decided once, when it was queued. It is now decided at each grant, so a call whose objective has passed no longer goes before calls that can meet theirs. A full queue gives up a late call for one that can be on time.

--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -5,8 +5,6 @@
 import math
 from collections import deque
 from collections.abc import Collection
-from heapq import heappop, heappush
-from itertools import count
 from typing import Any
 
 from msgspec import Struct
@@ -21,6 +19,7 @@
     ServerState,
     update_failure_rate,
 )
+from monsoontray.decisions.waiting import SlotRequest, WaitingCall, WaitingCalls
 
 COLD_WINDOW_S = 1.05  # a cold server's limit is per second; 50 ms of margin
 COLD_LIMIT_SHARE = 0.95  # share of the limit in use: transit times vary
@@ -65,31 +64,6 @@
     """Outcome of a request for a slot: the call is queued."""
 
 
-class SlotRequest(Struct, frozen=True):
-    """Properties of a call that requests a slot."""
-
-    deadline: float
-    priority: int  # 0 is served first
-    objective: float = math.inf  # time until which a response counts as on time
-    route: str = ""
-    may_wait: bool = True  # may be queued if no slot is free
-    idempotent: bool = False
-
-
-class WaitingCall:
-    """Call in the queue for a slot."""
-
-    __slots__ = ("call", "rank", "removed", "start_deadline")
-
-    def __init__(
-        self, call: Any, start_deadline: float, rank: tuple[bool, int]
-    ) -> None:
-        self.call = call
-        self.start_deadline = start_deadline  # a later start would end too late
-        self.rank = rank  # whether the call will be late, then its priority
-        self.removed = False
-
-
 class GuardState:
     """Slots and queue of one backend server."""
 
@@ -97,8 +71,6 @@
         "_cold",
         "_cold_start_at",
         "_first_cold_at",
-        "_queue",
-        "_sequence",
         "_start_times",
         "_unsent",
         "busy_refusals",
@@ -129,7 +101,7 @@
         self.record = record
         self.queue_limit = queue_limit
         self.in_use = 0
-        self.waiting: dict[Any, WaitingCall] = {}
+        self.waiting = WaitingCalls()
         self.service_s = 0.0  # mean time that the server takes for a call
         self.run_times: dict[str, float] = {}  # the same by route
         self.closed_reason: Reason | None = None  # why every call is refused
@@ -152,8 +124,6 @@
         self._cold_start_at = cold_start_at
         #: Time of the first request while the server was cold.
         self._first_cold_at: float | None = None
-        self._queue: list[tuple[tuple[bool, int], float, int, WaitingCall]] = []
-        self._sequence = count()
 
     @property
     def is_leaving(self) -> bool:
@@ -217,7 +187,7 @@
             bool(self.waiting) or not self._is_within_pace(now)
         )
         if self.in_use < self.get_capacity() and not must_queue:
-            self._start(call, now)
+            self._start(call, request, now)
             return Granted()
         if not request.may_wait and self.pace is not None:
             load = self.report_load(now, request.route)
@@ -228,23 +198,7 @@
             wait_s = self.service_s / self.get_capacity()
             load = self.report_load(now, request.route)
             return Refusal(Reason.SLOTS_BUSY, Ran.NOT_RUN, wait_s, load)
-        run_s = self.run_times.get(request.route, self.service_s)
-        rank = (False, request.priority)
-        wait_s = self._estimate_wait(rank)
-        remaining_s = request.deadline - now
-        if now + wait_s + ON_TIME_RUN_TIMES * run_s > request.objective:
-            rank = (True, request.priority)
-            wait_s = self._estimate_wait(rank)
-            remaining_s *= LATE_WAIT_SHARE
-        min_run_s = MIN_SERVICE_TIME_SHARE * run_s
-        is_too_late = wait_s + min_run_s > remaining_s
-        if len(self.waiting) >= self.queue_limit or is_too_late:
-            load = self.report_load(now, request.route)
-            return Refusal(Reason.NO_SLOT, Ran.NOT_RUN, wait_s, load)
-        waiting = WaitingCall(call, request.deadline - min_run_s, rank)
-        self.waiting[call] = waiting
-        heappush(self._queue, (rank, request.deadline, next(self._sequence), waiting))
-        return Queued()
+        return self._queue(call, request, now)
 
     def record_sent(self, call: Any, now: float) -> None:
         """Record that the request of a call that holds a slot is sent."""
@@ -268,26 +222,19 @@
             return None
         if not (self._is_within_cold_limit(now) and self._is_within_pace(now)):
             return None
-        call = self._pop_waiting(now)
-        if call is not None:
-            self._start(call, now)
-        return call
+        waiting = self.waiting.pop_next(now)
+        if waiting is None:
+            return None
+        self._start(waiting.call, waiting.request, now)
+        return waiting.call
 
     def pop_overdue(self, now: float) -> Any | None:
         """Remove and return a queued call that would end after its deadline, if any."""
-        for waiting in self.waiting.values():
-            if waiting.start_deadline <= now:
-                self.remove_waiting(waiting.call)
-                return waiting.call
-        return None
+        return self.waiting.pop_overdue(now)
 
     def remove_waiting(self, call: Any) -> bool:
         """Remove a call from the queue; return whether it was queued."""
-        waiting = self.waiting.pop(call, None)
-        if waiting is None:
-            return False
-        waiting.removed = True
-        return True
+        return self.waiting.remove(call)
 
     def record_result(self, seconds: float, failed: bool, route: str = "") -> None:
         """Count a call that ended and the time that the server took for it."""
@@ -336,8 +283,34 @@
         wait_s = max(self.pace.compute_wait(now), MIN_RECHECK_INTERVAL_S)
         return min(wait_s, RECHECK_INTERVAL_S)
 
-    def _start(self, call: Any, now: float) -> None:
+    def _queue(self, call: Any, request: SlotRequest, now: float) -> Queued | Refusal:
+        """Queue a call, unless it would end too late or the queue is full."""
+        run_s = self.run_times.get(request.route, self.service_s)
+        min_run_s = MIN_SERVICE_TIME_SHARE * run_s
+        waiting = WaitingCall(
+            call,
+            request,
+            request.deadline - min_run_s,
+            request.objective - ON_TIME_RUN_TIMES * run_s,
+        )
+        wait_s = self._estimate_wait(waiting, now)
+        remaining_s = request.deadline - now
+        if not request.nested and now + wait_s > waiting.latest_start:
+            waiting.latest_start = -math.inf
+            wait_s = self._estimate_wait(waiting, now)
+            remaining_s *= LATE_WAIT_SHARE
+        is_full = len(self.waiting) >= self.queue_limit
+        if is_full and not waiting.is_late(now):
+            is_full = not self.waiting.displace_late(now)
+        if is_full or wait_s + min_run_s > remaining_s:
+            load = self.report_load(now, request.route)
+            return Refusal(Reason.NO_SLOT, Ran.NOT_RUN, wait_s, load)
+        self.waiting.add(waiting)
+        return Queued()
+
+    def _start(self, call: Any, request: SlotRequest, now: float) -> None:
         self.in_use += 1
+        self.waiting.usage.count(request.customer, now)
         self._unsent.add(call)
         if self.pace is not None:
             self.pace.count_start(now)
@@ -386,22 +359,10 @@
         while self._start_times and self._start_times[0] + COLD_WINDOW_S <= now:
             self._start_times.popleft()
 
-    def _estimate_wait(self, rank: tuple[bool, int]) -> float:
-        """Return the seconds that a call of this rank would be queued."""
-        calls_ahead = sum(
-            1 for waiting in self.waiting.values() if waiting.rank <= rank
-        )
+    def _estimate_wait(self, waiting: WaitingCall, now: float) -> float:
+        """Return the seconds that a call would be queued."""
+        calls_ahead = self.waiting.count_ahead(waiting, now)
         wait_s = self.service_s * (calls_ahead + 1) / max(1, self.get_capacity())
         if self.pace is None:
             return wait_s
         return max(wait_s, (calls_ahead + 1) / self.pace.per_s)
-
-    def _pop_waiting(self, now: float) -> Any | None:
-        while self._queue:
-            waiting = heappop(self._queue)[3]
-            # An overdue call stays in ``waiting`` until it is refused.
-            if waiting.removed or waiting.start_deadline <= now:
-                continue
-            del self.waiting[waiting.call]
-            return waiting.call
-        return None
--- a/monsoontray/forwarding/attempts.py
+++ b/monsoontray/forwarding/attempts.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from monsoontray.decisions.guard import Granted, Queued, SlotRequest
+from monsoontray.decisions.guard import Granted, Queued
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.retries import compute_unready_retry
 from monsoontray.decisions.servers import (
@@ -16,6 +16,7 @@
     Endpoint,
     choose_server,
 )
+from monsoontray.decisions.waiting import SlotRequest
 from monsoontray.forwarding.heads import Framing, RequestHead, encode_header
 from monsoontray.forwarding.routes import (
     CUSTOMER_HEADER,
@@ -152,6 +153,7 @@
         route.name,
         may_wait,
         route.idempotent,
+        customer=route.customer,
     )
     outcome = guard.request_slot(call, request, call.now)
     handle_slot_outcome(outcome, call, guard)
--- a/tests/test_decisions/test_balance.py
+++ b/tests/test_decisions/test_balance.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from monsoontray.decisions.guard import Granted, GuardState, SlotRequest
+from monsoontray.decisions.guard import Granted, GuardState
 from monsoontray.decisions.outcomes import Reason, Refusal
 from monsoontray.decisions.retries import MAX_NO_WAIT_OFFERS, MAX_OFFERS
 from monsoontray.decisions.servers import (
@@ -29,6 +29,7 @@
     choose_server,
     draw_candidates,
 )
+from monsoontray.decisions.waiting import SlotRequest
 
 SPEEDS = (0.5, 1.0, 1.0, 1.5)
 HOP_S = 0.002
--- a/tests/test_decisions/test_guard.py
+++ b/tests/test_decisions/test_guard.py
@@ -17,10 +17,10 @@
     Granted,
     GuardState,
     Queued,
-    SlotRequest,
 )
 from monsoontray.decisions.outcomes import Ran, Reason, refuse_not_run
 from monsoontray.decisions.servers import ServerRecord, ServerState
+from monsoontray.decisions.waiting import SlotRequest
 
 RECORD = ServerRecord("s", "catalogue", "1", (), 2, 130, ServerState.SERVING)
 
--- a/tests/test_decisions/test_overload.py
+++ b/tests/test_decisions/test_overload.py
@@ -10,9 +10,10 @@
 
 import pytest
 
-from monsoontray.decisions.guard import Granted, GuardState, SlotRequest
+from monsoontray.decisions.guard import Granted, GuardState
 from monsoontray.decisions.outcomes import Refusal
 from monsoontray.decisions.servers import ServerRecord, ServerState
+from monsoontray.decisions.waiting import SlotRequest
 
 SLOTS = 9
 RUN_S = 0.1
--- a/tests/test_decisions/test_pace.py
+++ b/tests/test_decisions/test_pace.py
@@ -9,10 +9,11 @@
 import pytest
 from msgspec.structs import replace
 
-from monsoontray.decisions.guard import Granted, GuardState, Queued, SlotRequest
+from monsoontray.decisions.guard import Granted, GuardState, Queued
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal
 from monsoontray.decisions.pace import BURST_S, MIN_RATE_PER_S, Pace
 from monsoontray.decisions.servers import ServerRecord, ServerState
+from monsoontray.decisions.waiting import SlotRequest
 
 RECORD = ServerRecord("s", "one", "v1", (), 6, 130, ServerState.SERVING)
 REQUEST = SlotRequest(9.0, 1, 1.0, "read")
