Run calls of running servers first and keep a slot from late calls

Cause: a server's call to another service waited behind calls on time as soon as its own short objective had passed, while its parent held a slot; late calls took all spare slots, so calls on time had to wait for each one; and callers that came back counted as new. Change: guards recognize calls of running servers by where a route's calls come from, and run them first; one slot is kept for calls that can be on time; objectives count from a caller's first attempt, by the time that it still waits.

--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -42,6 +42,9 @@
 #: noticed. Idempotent calls are used; others only after a longer time without a probe.
 PROBE_INTERVAL_S = 0.25
 WRITE_PROBE_INTERVAL_S = 1.0
+#: One slot is kept for calls that can be on time, if one has come in this time. A
+#: server that is full of late calls would make the next ones late as well.
+KEPT_SLOT_S = 0.5
 RECHECK_INTERVAL_S = 0.1  # between two checks of the queued calls
 MIN_RECHECK_INTERVAL_S = 0.005
 #: A server that responded within this time has not restarted since: in the
@@ -71,6 +74,7 @@
         "_cold",
         "_cold_start_at",
         "_first_cold_at",
+        "_last_on_time_at",
         "_start_times",
         "_unsent",
         "busy_refusals",
@@ -122,6 +126,8 @@
         #: Until then an earlier process of this node may have used up a cold server's
         #: limit, so the server gets no call.
         self._cold_start_at = cold_start_at
+        #: When a call that can still be on time last asked for a slot.
+        self._last_on_time_at = -math.inf
         #: Time of the first request while the server was cold.
         self._first_cold_at: float | None = None
 
@@ -186,6 +192,7 @@
         must_queue = self.pace is not None and (
             bool(self.waiting) or not self._is_within_pace(now)
         )
+        must_queue = must_queue or self._gives_way(request, now)
         if self.in_use < self.get_capacity() and not must_queue:
             self._start(call, request, now)
             return Granted()
@@ -222,7 +229,7 @@
             return None
         if not (self._is_within_cold_limit(now) and self._is_within_pace(now)):
             return None
-        waiting = self.waiting.pop_next(now)
+        waiting = self.waiting.pop_next(now, self._has_room_for_late(now))
         if waiting is None:
             return None
         self._start(waiting.call, waiting.request, now)
@@ -308,6 +315,21 @@
         self.waiting.add(waiting)
         return Queued()
 
+    def _gives_way(self, request: SlotRequest, now: float) -> bool:
+        """Return whether a call is late, and the free slot is kept for others."""
+        run_s = self.run_times.get(request.route, self.service_s)
+        if request.nested or now + run_s <= request.objective:
+            self._last_on_time_at = now
+            return False
+        return not self._has_room_for_late(now)
+
+    def _has_room_for_late(self, now: float) -> bool:
+        """Return whether a late call may take a slot."""
+        capacity = self.get_capacity()
+        if capacity == 1 or now - self._last_on_time_at > KEPT_SLOT_S:
+            return True
+        return self.in_use < capacity - 1
+
     def _start(self, call: Any, request: SlotRequest, now: float) -> None:
         self.in_use += 1
         self.waiting.usage.count(request.customer, now)
--- a/monsoontray/forwarding/attempts.py
+++ b/monsoontray/forwarding/attempts.py
@@ -153,7 +153,8 @@
         route.name,
         may_wait,
         route.idempotent,
-        customer=route.customer,
+        call.forwarder.guards.is_nested(guard, call),
+        route.customer,
     )
     outcome = guard.request_slot(call, request, call.now)
     handle_slot_outcome(outcome, call, guard)
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 
 from monsoontray.containment.messages import UpdateContainment
 from monsoontray.decisions.admission import NO_ENTITLEMENTS
+from monsoontray.decisions.ages import CallerAges
 from monsoontray.decisions.budget import RetryBudgets
 from monsoontray.decisions.outcomes import Reason, Refusal, refuse_not_run
 from monsoontray.decisions.servers import (
@@ -101,6 +102,7 @@
         self.reachability = Reachability(self)
         self.containment = RequestContainment(self)
         self._departures = Departures()
+        self.ages = CallerAges()
         self.response_times = ResponseTimes()
         self.dirty_connections: list[Connection] = []
         self.stopping = False
@@ -222,6 +224,7 @@
         route_names = {each.name for each in table.routes.routes}
         self.response_times.remove_except(route_names)
         self.loads.remove_routes_except(route_names)
+        self.ages.remove_routes_except(route_names)
         self._apply_route_limits(table)
         self.guards.update_policies(route_names)
 
--- a/monsoontray/forwarding/guards.py
+++ b/monsoontray/forwarding/guards.py
@@ -8,10 +8,12 @@
 from msgspec.structs import replace
 
 from monsoontray.decisions.guard import COLD_WINDOW_S, ColdLimits, GuardState
+from monsoontray.decisions.nesting import RouteCallers
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.rollouts import ServerEvidence
 from monsoontray.forwarding.attempts import send_to_local_server
 from monsoontray.forwarding.messages import ServerUnconfirmed, UpdateLocalServers
+from monsoontray.forwarding.sides import find_caller
 from monsoontray.forwarding.upstream import ConnectOutcome
 from monsoontray.forwarding.versions import read_evidence
 from monsoontray.logs import logger
@@ -44,6 +46,7 @@
         "_forwarder",
         "_guards",
         "_load_log_due_at",
+        "_route_callers",
         "_scheduled_rechecks",
     )
 
@@ -54,6 +57,7 @@
         #: Servers for whose queue a recheck is scheduled.
         self._scheduled_rechecks: set[str] = set()
         self._load_log_due_at = 0.0
+        self._route_callers = RouteCallers()
         self._cold_start_at = forwarder.now + COLD_WINDOW_S
         self.update_interface(interface)
 
@@ -116,6 +120,7 @@
         for guard in self._guards.values():
             guard.record = self._apply_policy(guard.record)
             guard.remove_routes_except(routes)
+        self._route_callers.remove_routes_except(routes)
         self.update_closed_guards()
 
     def update_closed_guards(self) -> None:
@@ -143,6 +148,15 @@
         else:
             self._mark_unconfirmed(guard, reason)
 
+    def is_nested(self, guard: GuardState, call: Call) -> bool:
+        """Count a call that asks for a slot; return whether a server made it."""
+        if not self._forwarder.http_profile.caller_service:
+            return False
+        name = call.route.name
+        service = find_caller(call.transaction.side, call.head, call.route)
+        self._route_callers.record_call(name, service)
+        return self._route_callers.is_nested(name, guard.record.service.encode())
+
     def mark_all_unconfirmed(self) -> None:
         """Treat every server as cold until it announces itself again."""
         for guard in self._guards.values():
@@ -233,6 +247,8 @@
                 service=guard.record.service,
                 in_use=guard.in_use,
                 waiting=len(guard.waiting),
+                late=len(guard.waiting)
+                - guard.waiting.count_on_time(self._forwarder.now),
                 slots=guard.get_capacity(),
                 ended=guard.ended_calls,
                 busy=guard.busy_refusals,
--- a/monsoontray/forwarding/sides.py
+++ b/monsoontray/forwarding/sides.py
@@ -43,6 +43,7 @@
     from random import Random
 
     from monsoontray.decisions.admission import Entitlements
+    from monsoontray.decisions.ages import CallerAges
     from monsoontray.decisions.routing import RouteTable
     from monsoontray.forwarding.limits import Limits
 
@@ -59,6 +60,7 @@
     limits: Limits
     entitlements: Entitlements
     route_table: RouteTable | None
+    ages: CallerAges
 
     @property
     def guards(self) -> Container[str]:
@@ -141,6 +143,8 @@
         return refuse_not_run(Reason.NO_ROUTE)
     http_profile = side.http_profile
     timeout_s = _read_timeout(head, http_profile.timeout_ms, route.timeout_s)
+    given_s = _read_timeout(head, http_profile.timeout_ms, math.inf)
+    age_s = context.ages.estimate_age(route.name, given_s) if given_s < math.inf else 0
     # The parser removed this header from the request, because a caller could set a
     # wrong service. The node adds the service that it knows.
     caller = encode_header(http_profile.caller_service, side.service.encode("latin-1"))
@@ -154,7 +158,7 @@
         idempotent=route.idempotent,
         max_attempts=route.max_attempts,
         deadline=context.now + min(timeout_s, route.timeout_s),
-        objective=context.now + route.objective_s,
+        objective=context.now + route.objective_s - age_s,
         max_body_bytes=table.routes.limits.body_bytes,
     )
 
--- a/tests/test_forwarding/test_call_model.py
+++ b/tests/test_forwarding/test_call_model.py
@@ -205,6 +205,9 @@
 
     record_unfinished = schedule_recheck = lambda self, *args: None
 
+    def is_nested(self, guard, call):
+        return False
+
     def record_sent(self, call):
         if call.guard is not None:
             call.guard.record_sent(call, self.now)
