--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -4,8 +4,6 @@
 
 import math
 from collections.abc import Collection
-from heapq import heappop, heappush
-from itertools import count
 from typing import Any
 
 from msgspec import Struct
@@ -22,6 +20,7 @@
     ServerState,
     update_failure_rate,
 )
+from monsoontray.decisions.waiting import SlotRequest, WaitingCall, WaitingCalls
 
 SERVICE_TIME_WEIGHT = 0.1  # of the latest call in the moving average
 MIN_SERVICE_TIME_SHARE = 0.7  # of the mean; the least that a call is assumed to take
@@ -39,6 +38,9 @@
 #: noticed. Idempotent calls are used; others only after a longer time without a probe.
 PROBE_INTERVAL_S = 0.25
 WRITE_PROBE_INTERVAL_S = 1.0
+#: One slot is kept for calls that can be on time, if one has come in this time. A
+#: server that is full of late calls would make the next ones late as well.
+KEPT_SLOT_S = 0.5
 RECHECK_INTERVAL_S = 0.1  # between two checks of the queued calls
 MIN_RECHECK_INTERVAL_S = 0.005
 #: A server that responded within this time has not restarted since: in the
@@ -54,38 +56,12 @@
     """Outcome of a request for a slot: the call is queued."""
 
 
-class SlotRequest(Struct, frozen=True):
-    """Properties of a call that requests a slot."""
-
-    deadline: float
-    priority: int  # 0 is served first
-    objective: float = math.inf  # time until which a response counts as on time
-    route: str = ""
-    may_wait: bool = True  # may be queued if no slot is free
-    idempotent: bool = False
-
-
-class WaitingCall:
-    """Call in the queue for a slot."""
-
-    __slots__ = ("call", "rank", "removed", "start_deadline")
-
-    def __init__(
-        self, call: Any, start_deadline: float, rank: tuple[bool, int]
-    ) -> None:
-        self.call = call
-        self.start_deadline = start_deadline  # a later start would end too late
-        self.rank = rank  # whether the call will be late, then its priority
-        self.removed = False
-
-
 class GuardState:
     """Slots and queue of one backend server."""
 
     __slots__ = (
         "_cold",
-        "_queue",
-        "_sequence",
+        "_last_on_time_at",
         "busy_refusals",
         "capacity",
         "closed_reason",
@@ -117,7 +93,7 @@
         self.capacity = capacity  # what the server takes; None: as it announces
         self.queue_limit = queue_limit
         self.in_use = 0
-        self.waiting: dict[Any, WaitingCall] = {}
+        self.waiting = WaitingCalls()
         self.service_s = 0.0  # mean time that the server takes for a call
         self.run_times: dict[str, float] = {}  # the same by route
         self.closed_reason: Reason | None = None  # why every call is refused
@@ -133,8 +109,8 @@
         self.last_probe_at = -math.inf
         self.suspicion = VersionSuspicion()
         self._cold = ColdWindow(cold or ColdLimits(), cold_start_at)
-        self._queue: list[tuple[tuple[bool, int], float, int, WaitingCall]] = []
-        self._sequence = count()
+        #: When a call that can still be on time last asked for a slot.
+        self._last_on_time_at = -math.inf
 
     @property
     def is_leaving(self) -> bool:
@@ -202,8 +178,9 @@
         must_queue = self.pace is not None and (
             bool(self.waiting) or not self._is_within_pace(now)
         )
+        must_queue = must_queue or self._gives_way(request, now)
         if self.in_use < self.get_capacity() and not must_queue:
-            self._start(call, now)
+            self._start(call, request, now)
             return Granted()
         if not request.may_wait and self.pace is not None:
             load = self.report_load(now, request.route)
@@ -214,23 +191,7 @@
             wait_s = self.service_s / self.get_capacity()
             load = self.report_load(now, request.route)
             return Refusal(Reason.SLOTS_BUSY, Ran.NOT_RUN, wait_s, load)
-        run_s = self.run_times.get(request.route, self.service_s)
-        rank = (False, request.priority)
-        wait_s = self._estimate_wait(rank)
-        remaining_s = request.deadline - now
-        if now + wait_s + ON_TIME_RUN_TIMES * run_s > request.objective:
-            rank = (True, request.priority)
-            wait_s = self._estimate_wait(rank)
-            remaining_s *= LATE_WAIT_SHARE
-        min_run_s = MIN_SERVICE_TIME_SHARE * run_s
-        is_too_late = wait_s + min_run_s > remaining_s
-        if len(self.waiting) >= self.queue_limit or is_too_late:
-            load = self.report_load(now, request.route)
-            return Refusal(Reason.NO_SLOT, Ran.NOT_RUN, wait_s, load)
-        waiting = WaitingCall(call, request.deadline - min_run_s, rank)
-        self.waiting[call] = waiting
-        heappush(self._queue, (rank, request.deadline, next(self._sequence), waiting))
-        return Queued()
+        return self._queue(call, request, now)
 
     def record_sent(self, call: Any, now: float) -> None:
         """Record that the request of a call that holds a slot is sent."""
@@ -255,26 +216,19 @@
             return None
         if not (self._is_within_cold_limit(now) and self._is_within_pace(now)):
             return None
-        call = self._pop_waiting(now)
-        if call is not None:
-            self._start(call, now)
-        return call
+        waiting = self.waiting.pop_next(now, self._has_room_for_late(now))
+        if waiting is None:
+            return None
+        self._start(waiting.call, waiting.request, now)
+        return waiting.call
 
     def pop_overdue(self, now: float) -> Any | None:
         """Remove and return a queued call that would end after its deadline, if any."""
-        for waiting in self.waiting.values():
-            if waiting.start_deadline <= now:
-                self.remove_waiting(waiting.call)
-                return waiting.call
-        return None
+        return self.waiting.pop_overdue(now)
 
     def remove_waiting(self, call: Any) -> bool:
         """Remove a call from the queue; return whether it was queued."""
-        waiting = self.waiting.pop(call, None)
-        if waiting is None:
-            return False
-        waiting.removed = True
-        return True
+        return self.waiting.remove(call)
 
     def record_result(self, seconds: float, failed: bool, route: str = "") -> None:
         """Count a call that ended and the time that the server took for it."""
@@ -341,8 +295,49 @@
         wait_s = max(self.pace.compute_wait(now), MIN_RECHECK_INTERVAL_S)
         return min(wait_s, RECHECK_INTERVAL_S)
 
-    def _start(self, call: Any, now: float) -> None:
+    def _queue(self, call: Any, request: SlotRequest, now: float) -> Queued | Refusal:
+        """Queue a call, unless it would end too late or the queue is full."""
+        run_s = self.run_times.get(request.route, self.service_s)
+        min_run_s = MIN_SERVICE_TIME_SHARE * run_s
+        waiting = WaitingCall(
+            call,
+            request,
+            request.deadline - min_run_s,
+            request.objective - ON_TIME_RUN_TIMES * run_s,
+        )
+        wait_s = self._estimate_wait(waiting, now)
+        remaining_s = request.deadline - now
+        if not request.nested and now + wait_s > waiting.latest_start:
+            waiting.latest_start = -math.inf
+            wait_s = self._estimate_wait(waiting, now)
+            remaining_s *= LATE_WAIT_SHARE
+        is_full = len(self.waiting) >= self.queue_limit
+        if is_full and not waiting.is_late(now):
+            is_full = not self.waiting.displace_late(now)
+        if is_full or wait_s + min_run_s > remaining_s:
+            load = self.report_load(now, request.route)
+            return Refusal(Reason.NO_SLOT, Ran.NOT_RUN, wait_s, load)
+        self.waiting.add(waiting)
+        return Queued()
+
+    def _gives_way(self, request: SlotRequest, now: float) -> bool:
+        """Return whether a call is late, and the free slot is kept for others."""
+        run_s = self.run_times.get(request.route, self.service_s)
+        if request.nested or now + run_s <= request.objective:
+            self._last_on_time_at = now
+            return False
+        return not self._has_room_for_late(now)
+
+    def _has_room_for_late(self, now: float) -> bool:
+        """Return whether a late call may take a slot."""
+        capacity = self.get_capacity()
+        if capacity == 1 or now - self._last_on_time_at > KEPT_SLOT_S:
+            return True
+        return self.in_use < capacity - 1
+
+    def _start(self, call: Any, request: SlotRequest, now: float) -> None:
         self.in_use += 1
+        self.waiting.usage.count(request.customer, now)
         self._cold.add_unsent(call)
         if self.capacity is not None:
             self.capacity.start(call, now)
@@ -370,22 +365,10 @@
             return True
         return self._cold.allows(self.record.cold_per_s, now)
 
-    def _estimate_wait(self, rank: tuple[bool, int]) -> float:
-        """Return the seconds that a call of this rank would be queued."""
-        calls_ahead = sum(
-            1 for waiting in self.waiting.values() if waiting.rank <= rank
-        )
+    def _estimate_wait(self, waiting: WaitingCall, now: float) -> float:
+        """Return the seconds that a call would be queued."""
+        calls_ahead = self.waiting.count_ahead(waiting, now)
         wait_s = self.service_s * (calls_ahead + 1) / max(1, self.get_capacity())
         if self.pace is None:
             return wait_s
         return max(wait_s, (calls_ahead + 1) / self.pace.per_s)
-
-    def _pop_waiting(self, now: float) -> Any | None:
-        while self._queue:
-            waiting = heappop(self._queue)[3]
-            # An overdue call stays in ``waiting`` until it is refused.
-            if waiting.removed or waiting.start_deadline <= now:
-                continue
-            del self.waiting[waiting.call]
-            return waiting.call
-        return None
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 
 from monsoontray.containment.messages import UpdateContainment
 from monsoontray.decisions.admission import NO_ENTITLEMENTS
+from monsoontray.decisions.ages import CallerAges
 from monsoontray.decisions.budget import RetryBudgets
 from monsoontray.decisions.freshness import Freshness
 from monsoontray.decisions.keys import check_key
@@ -108,6 +109,7 @@
         self.containment = RequestContainment(self)
         self.usage = UsageRecorder(self, settings.get_float("usage_window_s"))
         self._departures = Departures()
+        self.ages = CallerAges()
         self.response_times = ResponseTimes()
         self.dirty_connections: list[Connection] = []
         self.stopping = False
@@ -236,6 +238,7 @@
         route_names = {each.name for each in table.routes.routes}
         self.response_times.remove_except(route_names)
         self.loads.remove_routes_except(route_names)
+        self.ages.remove_routes_except(route_names)
         self._apply_route_limits(table)
         self.guards.update_policies(route_names)
 
