Keep the last counts of stopped nodes until they are recorded

The holder that had been told could itself be cut off or stop before it recorded them. They are now left to another node as well, which tells each holder, and which leaves what it keeps to another when it stops. A late word of a stopped process no longer hides the next process of its node; the tests of both failed before the change.

--- a/monsoontray/decisions/usage.py
+++ b/monsoontray/decisions/usage.py
@@ -106,28 +106,36 @@
 
 
 class KeptSums:
-    """Last sums of nodes that stopped, until the holder has them."""
+    """Last sums of nodes that stopped, until they are recorded."""
 
-    __slots__ = ("_kept",)
+    __slots__ = ("_kept", "_told")
 
     def __init__(self) -> None:
         self._kept: dict[tuple[str, int], NodeUsage] = {}
+        #: Tokens of the holders that have the sums.
+        self._told: dict[tuple[str, int], int] = {}
 
     def add(self, usage: NodeUsage) -> None:
         """Keep the sums of a node that has stopped."""
         if len(self._kept) < MAX_KEPT_NODES:
             self._kept[usage.node, usage.incarnation] = usage
 
-    def remove(self, usage: NodeUsage) -> None:
-        """Forget the sums, since the holder has them."""
-        self._kept.pop((usage.node, usage.incarnation), None)
+    def mark_told(self, usage: NodeUsage, token: int) -> None:
+        """Record that a holder has the sums; the next one needs them, too."""
+        self._told[usage.node, usage.incarnation] = token
 
-    def get(self, recorded: int) -> list[NodeUsage]:
-        """Return the sums that are not recorded; forget the others."""
+    def find_untold(self, recorded: int, token: int = 0) -> list[NodeUsage]:
+        """Return what the holder with a token does not have, or all for token 0.
+
+        What is recorded is forgotten.
+        """
         for key, usage in list(self._kept.items()):
             if max(usage.windows, default=0) <= recorded:
                 del self._kept[key]
-        return list(self._kept.values())
+                self._told.pop(key, None)
+        return [
+            usage for key, usage in self._kept.items() if self._told.get(key) != token
+        ]
 
 
 class WindowCollector:
@@ -165,9 +173,9 @@
         if known is not None and known.sequence >= usage.sequence:
             return
         by_incarnation[usage.incarnation] = usage
-        if usage.leaving:
+        if usage.leaving and usage.incarnation >= max(by_incarnation):
             self._expected.discard(usage.node)
-        else:
+        elif not usage.leaving:
             self._expected.add(usage.node)
 
     def collect(self, time: float) -> Counts | None:
--- a/monsoontray/usage/service.py
+++ b/monsoontray/usage/service.py
@@ -159,7 +159,7 @@
         """Tell the holder this node's sums, if there is something new."""
         usage = self._build_usage()
         if self._is_holder:
-            for each in (usage, *self._teller.take_kept(self._sums.recorded)):
+            for each in (usage, *self._teller.get_kept(self._sums.recorded)):
                 self._collector.add(each)
             self._check_window()
             return
--- a/monsoontray/usage/telling.py
+++ b/monsoontray/usage/telling.py
@@ -74,37 +74,50 @@
             self._post(self.holder.address, encode_offer(usage), on_end)
 
     def leave(self, usage: NodeUsage, on_end: Callable[[], None]) -> None:
-        """Tell the last sums to the holder, or leave them to another node."""
-        if self.holder is None or self.is_own_duty():
-            self._leave_to_another(usage, on_end)
-            return
+        """Tell the last sums to the holder, and leave them to another node.
+
+        The holder may itself end before they are recorded.
+        """
+        pending = 0
 
-        def handle_response(response: HttpResponse | None) -> None:
-            if self._decode(response) is None:
-                self._leave_to_another(usage, on_end)
-            else:
+        def end(response: HttpResponse | None) -> None:
+            nonlocal pending
+            pending -= 1
+            if pending == 0:
                 on_end()
 
-        self._post(self.holder.address, encode_offer(usage), handle_response)
+        addresses = []
+        if self.holder is not None and not self.is_own_duty():
+            addresses.append(self.holder.address)
+        others = [n.peer_address for n in self._list_others()]
+        others = [each for each in others if each not in addresses]
+        if others:
+            addresses.append(self._random.choice(others))
+        offers = [encode_offer(each) for each in (usage, *self._kept.find_untold(0))]
+        pending = len(addresses) * len(offers)
+        for address in addresses:
+            for offer in offers:
+                self._post(address, offer, end)
+        if not addresses:
+            on_end()
 
     def keep(self, usage: NodeUsage) -> None:
         """Keep the last sums of a node for the holder."""
         self._kept.add(usage)
 
-    def take_kept(self, recorded: int) -> list[NodeUsage]:
-        """Return what is kept and not recorded; it is kept no longer."""
-        found = self._kept.get(recorded)
-        for usage in found:
-            self._kept.remove(usage)
-        return found
+    def get_kept(self, recorded: int) -> list[NodeUsage]:
+        """Return the last sums of nodes that stopped."""
+        return self._kept.find_untold(recorded)
 
     def tell_kept(self, recorded: int) -> None:
         """Give the holder the last sums of nodes that stopped."""
-        if self.holder is None or self.is_own_duty():
+        holder = self.holder
+        if holder is None or self.is_own_duty():
             return
-        for usage in self._kept.get(recorded):
+        for usage in self._kept.find_untold(recorded, holder.token):
             body = encode_offer(usage, passed_on=True)
-            self._post(self.holder.address, body, partial(self._handle_kept, usage))
+            on_end = partial(self._handle_kept, usage, holder.token)
+            self._post(holder.address, body, on_end)
 
     def pass_on(self, usage: NodeUsage, reply: Reply) -> None:
         """Tell the holder for another node, and return its answer to that node."""
@@ -128,9 +141,11 @@
         elif on_failure is not None:
             on_failure(usage)
 
-    def _handle_kept(self, usage: NodeUsage, response: HttpResponse | None) -> None:
+    def _handle_kept(
+        self, usage: NodeUsage, token: int, response: HttpResponse | None
+    ) -> None:
         if self._decode(response) is not None:
-            self._kept.remove(usage)
+            self._kept.mark_told(usage, token)
 
     def _pass_through_another(self, usage: NodeUsage) -> None:
         """Tell the holder through a node of a third zone, or of any other one."""
@@ -147,15 +162,6 @@
             on_end = partial(self._handle_answer, usage, None)
             self._post(chosen.peer_address, encode_offer(usage), on_end)
 
-    def _leave_to_another(self, usage: NodeUsage, on_end: Callable[[], None]) -> None:
-        others = self._list_others()
-        if not others:
-            on_end()
-            return
-        chosen = self._random.choice(others)
-        body = encode_offer(usage)
-        self._post(chosen.peer_address, body, lambda response: on_end())
-
     def _list_others(self) -> list[ListedNode]:
         """Return the other nodes that are not stopping."""
         deadline = self._task.clock.now() + MEMBERSHIP_TIMEOUT_S
--- a/tests/test_decisions/test_usage.py
+++ b/tests/test_decisions/test_usage.py
@@ -97,6 +97,15 @@
     assert collector.collect(20.0) == {"a": 5}
 
 
+def test_late_word_of_a_stopped_process_does_not_hide_the_next_one():
+    collector = begin(nodes=("n0",))
+    collector.add(build_usage("n0", incarnation=2, through=1, w2=4))
+    collector.add(build_usage("n0", incarnation=1, through=1, leaving=True, w2=3))
+    assert collector.collect(20.0) is None
+    collector.add(build_usage("n0", incarnation=2, sequence=2, through=2, w2=5))
+    assert collector.collect(20.0) == {"a": 8}
+
+
 def test_first_holder_begins_with_the_current_window_and_no_backlog_is_built():
     collector = WindowCollector(WINDOW_S, LATE_S)
     collector.begin(0, (), 1002.0)
--- a/tests/test_usage/test_service.py
+++ b/tests/test_usage/test_service.py
@@ -109,8 +109,8 @@
             self.timers.run_due(self.clock.seconds)
         self.clock.seconds = end
 
-    def set_holder(self, number, recorded=0):
-        holder = Holder(f"n{number}", f"127.0.0.1:{number + 1}", 1, "7")
+    def set_holder(self, number, recorded=0, token=1):
+        holder = Holder(f"n{number}", f"127.0.0.1:{number + 1}", token, "7")
         for i, kernel in enumerate(self.kernels):
             kernel.deliver(HolderChanged(holder))
             if i == number:
@@ -211,7 +211,10 @@
     kernel.usage.begin_stop(network.clock.now() + 1.0)
     network.run(0.5)
     kernel.usage._tell = lambda: None  # it has ended
-    network.set_holder(1)
+    network.set_holder(3, token=2)
+    network.run(0.9)
+    network.kernels[3].deliver(DutyLost())
+    network.set_holder(1, token=3)
     network.run(4.0)
     assert network.find_collected(1)[200] >= 50 + 5 * 2 * 5
 
