Report the expected wait, and spread the return of callers that are late

Callers that were refused for want of room got the same time to come back, and came back together. Those that can't be on time any more are now told a time within a third of what they have left. Guards report the seconds that a call would be queued.

--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -165,7 +165,13 @@
             if not self._is_within_pace(now):
                 calls = max(calls, slots)
         run_s = self.run_times.get(route, 0.0)
-        return LoadReport(calls, slots, self.service_s, self.failure_rate, run_s)
+        wait_s = 0.0
+        if calls >= slots:
+            ahead = self.waiting.count_on_time(now)
+            wait_s = self.service_s * (ahead + 1) / slots
+        return LoadReport(
+            calls, slots, self.service_s, self.failure_rate, run_s, wait_s
+        )
 
     def request_slot(
         self, call: Any, request: SlotRequest, now: float = 0.0
--- a/monsoontray/decisions/servers.py
+++ b/monsoontray/decisions/servers.py
@@ -111,6 +111,7 @@
     service_s: float  # mean time that the server takes for a call
     failure_rate: float = 0.0  # moving average of the share of failed calls
     run_s: float = 0.0  # mean time of the calls of one route; 0 if unknown
+    wait_s: float = 0.0  # expected time in the queue of a call that is queued now
 
 
 class TypicalTimes(Struct, frozen=True):
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -20,6 +20,7 @@
     Retry,
     decide_after_failure,
 )
+from monsoontray.decisions.shedding import spread_return
 from monsoontray.forwarding.attempts import start_attempt
 from monsoontray.forwarding.heads import RequestHead
 from monsoontray.forwarding.replacing import check_guard, handle_timeout
@@ -253,6 +254,11 @@
         If any attempt of the call may have run, the refusal says so.
         """
         refusal = self.attempts.apply_worst_outcome(refusal)
+        route, forwarder = self.route, self.forwarder
+        if isinstance(route, EntryRoute):
+            refusal = spread_return(
+                refusal, route.deadline, route.objective, self.now, forwarder.random
+            )
         self.request.abort()
         self.forwarder.report.record_refused_call(refusal, self)
         self._clean_up()
--- a/monsoontray/forwarding/responses.py
+++ b/monsoontray/forwarding/responses.py
@@ -11,7 +11,7 @@
 from monsoontray.decisions.servers import LoadReport
 from monsoontray.decoding.documents import decode_digits
 from monsoontray.forwarding.heads import Framing, ResponseHead, encode_header
-from monsoontray.forwarding.routes import LOAD_HEADER, RUN_TIME_HEADER
+from monsoontray.forwarding.routes import LOAD_HEADER, RUN_TIME_HEADER, WAIT_HEADER
 
 if TYPE_CHECKING:
     from monsoontray.forwarding.http_profile import HttpProfile
@@ -21,6 +21,7 @@
 _PERCENT = 100
 #: Of the calls, slots, mean time in milliseconds and share of failures in percent.
 _MAX_LOAD_VALUES = (1_000_000, 1_000_000, 3_600_000, _PERCENT)
+_MAX_WAIT_MS = 3_600_000
 _RUN_TIME = re.compile(rb"\d{1,9}\.\d")
 
 
@@ -86,6 +87,8 @@
     failure_rate = int(report.failure_rate * _PERCENT)
     value = b"%d %d %d %d" % (report.calls, report.slots, service_ms, failure_rate)
     line = encode_header(LOAD_HEADER, value)
+    if report.wait_s:
+        line += encode_header(WAIT_HEADER, b"%d" % (report.wait_s * _MS_PER_S))
     if not report.run_s:
         return line
     return line + encode_header(RUN_TIME_HEADER, b"%.1f" % (report.run_s * _MS_PER_S))
@@ -106,6 +109,12 @@
     run_ms = head.node_headers.get(RUN_TIME_HEADER, b"")
     # A node of an earlier version does not report the time of the route.
     run_s = float(run_ms) / _MS_PER_S if _RUN_TIME.fullmatch(run_ms) else 0.0
+    wait_ms = decode_digits(head.node_headers.get(WAIT_HEADER, b""), _MAX_WAIT_MS) or 0
     return LoadReport(
-        calls, slots, service_ms / _MS_PER_S, failure_rate / _PERCENT, run_s
+        calls,
+        slots,
+        service_ms / _MS_PER_S,
+        failure_rate / _PERCENT,
+        run_s,
+        wait_ms / _MS_PER_S,
     )
--- a/monsoontray/forwarding/routes.py
+++ b/monsoontray/forwarding/routes.py
@@ -18,6 +18,7 @@
 ROUTE_HEADER = b"monsoontray-route"
 LOAD_HEADER = b"monsoontray-load"
 RUN_TIME_HEADER = b"monsoontray-run-ms"  # mean time of the call's route at its server
+WAIT_HEADER = b"monsoontray-wait-ms"  # expected time in the queue of the server
 NO_WAIT_HEADER = b"monsoontray-no-wait"
 LOWEST_PRIORITY = 9
 
--- a/tests/test_decisions/chain_model.py
+++ b/tests/test_decisions/chain_model.py
@@ -20,6 +20,7 @@
     ServerState,
     choose_server,
 )
+from monsoontray.decisions.shedding import spread_return
 from monsoontray.decisions.waiting import SlotRequest
 
 SLOTS = 3
@@ -329,6 +330,10 @@
             self.counts[caller.kind.name]["failed"] += 1
             return
         caller.retries_left -= 1
+        objective = caller.started_at + caller.kind.aim_s
+        refusal = spread_return(
+            refusal, caller.deadline, objective, self.now, self.random
+        )
         delay_s = min(max(refusal.retry_after_s, MIN_RETRY_S), left_s / 3)
         self.schedule(self.now + delay_s, partial(self.attempt, caller))
 
--- a/tests/test_decisions/test_waiting.py
+++ b/tests/test_decisions/test_waiting.py
@@ -4,6 +4,8 @@
 
 from monsoontray.decisions.ages import CallerAges
 from monsoontray.decisions.nesting import RouteCallers
+from monsoontray.decisions.outcomes import Ran, Reason, Refusal
+from monsoontray.decisions.shedding import spread_return
 from monsoontray.decisions.waiting import SlotRequest, WaitingCall, WaitingCalls
 
 
@@ -96,3 +98,18 @@
     ages, random = CallerAges(), Random(1)
     found = [ages.estimate_age("read", random.uniform(0.5, 4.0)) for _ in range(500)]
     assert not any(found[100:])
+
+
+# Refused callers came back together and were refused together.
+def test_callers_that_are_late_come_back_spread_over_their_time():
+    random = Random(1)
+    refusal = Refusal(Reason.NO_SLOT, Ran.NOT_RUN, 0.1)
+    times = [
+        spread_return(refusal, 3.0, 0.05, 0.0, random).retry_after_s for _ in range(100)
+    ]
+    assert min(times) >= 0.1
+    assert sum(each > 0.5 for each in times) > 30
+    assert max(times) <= 1.0
+    assert spread_return(refusal, 3.0, 0.5, 0.0, random) is refusal
+    may_have_run = Refusal(Reason.NO_SLOT, Ran.UNKNOWN, 0.1)
+    assert spread_return(may_have_run, 3.0, 0.05, 0.0, random) is may_have_run
--- a/tests/test_forwarding/test_responses.py
+++ b/tests/test_forwarding/test_responses.py
@@ -104,9 +104,9 @@
         head.node_headers[name] = value
 
 
-@pytest.mark.parametrize("run_s", [0.0, 0.0215, 12.5])
-def test_a_load_report_is_unchanged_by_encoding_and_decoding(run_s):
-    report = LoadReport(7, 9, 0.125, 0.25, run_s)
+@pytest.mark.parametrize(("run_s", "wait_s"), [(0.0, 0.25), (0.0215, 0.0), (12.5, 3)])
+def test_a_load_report_is_unchanged_by_encoding_and_decoding(run_s, wait_s):
+    report = LoadReport(7, 9, 0.125, 0.25, run_s, wait_s)
     head = build_head()
     set_load_headers(head, report)
     assert decode_load(head) == report
