Name the server in the refusal of a call that was taken back

The slot is released before the guard is waited for, and the line lost the server with it: test_operations.py failed. It names the server of the last attempt again.

--- a/monsoontray/forwarding/withdrawals.py
+++ b/monsoontray/forwarding/withdrawals.py
@@ -100,6 +100,7 @@
     if not call.withdrawals:
         return False
     call.pending_refusal = refusal
+    call.attempts.last_server = call.server or call.attempts.last_server
     call.stop_work()
     return True
 
