Keep what is in force when the store comes back from a copy

Revisions were compared across the copy: a watch could go on in another history, a condition or a lease could hold by a number that was given out again, a rollout began again, an evacuation ended, and departures and ends that were lost stayed lost.

Clients read the era in each answer and give positions, era before revision. Records of an ended era are no condition, its leases are gone.

--- a/bench/standins/records.py
+++ b/bench/standins/records.py
@@ -86,6 +86,8 @@
     faults: Faults = field(default_factory=Faults)
     delayed_writes: set[asyncio.Task[None]] = field(default_factory=set)
     stale_entries: dict[str, Entry] = field(default_factory=dict)
+    era: int = 0  # rises when the store comes back from its copy
+    copy: tuple[dict[str, Entry], dict[int, Lease], int] | None = None
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
     new_lease_ids: itertools.count[int] = field(
         default_factory=lambda: itertools.count(1)
--- a/bench/standins/store.py
+++ b/bench/standins/store.py
@@ -10,8 +10,10 @@
 import asyncio
 import base64
 import binascii
+import itertools
 import time
 from collections import Counter
+from dataclasses import astuple
 from typing import Any
 
 import fire
@@ -47,6 +49,7 @@
     def build_application(self) -> web.Application:
         """Build the HTTP application."""
         application = web.Application(client_max_size=2 * MAX_VALUE_BYTES)
+        application.on_response_prepare.append(self._add_era)
         application.add_routes(
             [
                 web.get("/kv-key", self.get),
@@ -99,7 +102,8 @@
             if self.state.faults.out:
                 _abort_connection(request)
             self._expire_leases()
-            if after < self.state.compacted_revision:
+            state = self.state
+            if not state.compacted_revision <= after <= state.revision:
                 return web.json_response({"error": "history is gone"}, status=410)
             events = [
                 event
@@ -176,9 +180,16 @@
     async def control(self, request: web.Request) -> web.StreamResponse:
         """Replace the faults; run ``lapse`` and ``compact`` once.
 
-        ``lapse`` expires every lease, ``compact`` drops the history.
+        ``lapse`` expires every lease, ``compact`` drops the history, ``copy`` keeps the
+        state and ``restore`` comes back from it in the next era.
         """
         body = await request.json()
+        if body.pop("copy", False):
+            state = self.state
+            leases = {i: Lease(*astuple(lease)) for i, lease in state.leases.items()}
+            state.copy = (dict(state.entries), leases, state.revision)
+        if body.pop("restore", False):
+            self._restore()
         if body.pop("lapse", False):
             self.state.leases.clear()
             self._expire_leases()
@@ -191,6 +202,22 @@
         await self._notify()
         return web.json_response({})
 
+    def _restore(self) -> None:
+        """Come back from the copy: give revisions and leases out again."""
+        state = self.state
+        assert state.copy is not None
+        state.entries, state.leases, state.revision = state.copy
+        state.copy = None
+        state.history.clear()
+        state.compacted_revision = state.revision
+        state.new_lease_ids = itertools.count(max(state.leases, default=0) + 1)
+        state.era += 1
+
+    async def _add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers["Store-Era"] = str(self.state.era)
+
     async def observe(self, request: web.Request) -> web.StreamResponse:
         """Return call counts since the start and of the last second."""
         return web.json_response(
--- a/monsoontray/containment/service.py
+++ b/monsoontray/containment/service.py
@@ -30,6 +30,7 @@
 from monsoontray.kernel.kernel import CrashPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
 from monsoontray.logs import logger
+from monsoontray.store.eras import get_era
 from monsoontray.store.outcomes import Record
 
 if TYPE_CHECKING:
@@ -65,6 +66,8 @@
         self._clearances: dict[str, Clearance] = {}
         #: When each record is forgotten, unless the store removes it before.
         self._deadlines: dict[str, float] = {}
+        self._own_ends: set[str] = set()  # keys
+        self._era = 0  # of the store, at the latest listing
         self._stored: set[str] = set()  # keys of the records that the store has shown
         self._own_clearances: set[str] = set()  # keys
         self._clearances_due: dict[str, float] = {}  # when they are written, by key
@@ -100,6 +103,7 @@
         """Record the end of a local server; this node acts on it at once."""
         key = build_end_key(end)
         self._ends[key] = end
+        self._own_ends.add(key)
         self._deadlines[key] = self.clock.now() + self._lifetime_s
         self._post_update()
         self._write(key, encode_end(end))
@@ -127,16 +131,33 @@
         if is_changed:
             self._post_update()
 
-    def apply_listing(self, records: Iterable[Record]) -> None:
-        """Replace the records that the store has shown before."""
+    def apply_listing(self, records: Iterable[Record], revision: int = 0) -> None:
+        """Replace the records that the store has shown before.
+
+        What a store that came back from a copy has lost stays until its deadline; the
+        node that had written it writes it again.
+        """
         listed = {record.key: record for record in records}
-        for key in self._stored - listed.keys():
-            self._forget(key)
+        lost = self._stored - listed.keys()
+        if get_era(revision) > self._era:
+            self._era = get_era(revision)
+            self._write_again(lost)
+        else:
+            for key in lost:
+                self._forget(key)
         self._stored &= listed.keys()
         for record in listed.values():
             self._apply_stored(record)
         self._post_update()
 
+    def _write_again(self, lost: Iterable[str]) -> None:
+        """Write this node's records among those that the store has lost."""
+        for key in lost:
+            if key in self._own_ends:
+                self._write(key, encode_end(self._ends[key]))
+            elif key in self._own_clearances:
+                self._schedule_clearance(key)
+
     def apply_changes(self, message: StoreChanged) -> None:
         """Apply records that were written or that expired."""
         for record in message.records:
@@ -199,6 +220,7 @@
     def _forget(self, key: str) -> None:
         self._deadlines.pop(key, None)
         self._ends.pop(key, None)
+        self._own_ends.discard(key)
         if key not in self._clearances_due:
             self._clearances.pop(key, None)
             self._own_clearances.discard(key)
@@ -240,7 +262,7 @@
 
 @handle_message.register(StoreListed)
 def _(message: StoreListed, service: ContainmentService) -> None:
-    service.apply_listing(message.records)
+    service.apply_listing(message.records, message.revision)
 
 
 @handle_message.register(StoreChanged)
--- a/monsoontray/discovery/messages.py
+++ b/monsoontray/discovery/messages.py
@@ -44,6 +44,7 @@
     """Write this node's record to the store."""
 
     value: bytes
+    is_spread: bool = False  # all nodes have reason to write at the same time
 
 
 class PublishDepartures(Struct, frozen=True):
--- a/monsoontray/discovery/publisher.py
+++ b/monsoontray/discovery/publisher.py
@@ -49,7 +49,9 @@
         self._value = b""
         self._is_written = False
         self._departures_key = DEPARTURES_KEY_PREFIX + node
+        self._departures: bytes | None = None  # the latest
         self._unwritten_departures: bytes | None = None
+        self._era: int | None = None  # in which the store has the departures
         self._next_attempt_at = self.clock.now()
 
     def find_next_deadline(self) -> float | None:
@@ -79,14 +81,21 @@
         )
         self._failures += 1
 
-    def publish(self, value: bytes) -> None:
-        """Write a record, even if it is the same as before."""
+    def publish(self, value: bytes, is_spread: bool = False) -> None:
+        """Write a record, even if it is the same as before.
+
+        What all nodes write at once is spread over the time between two renewals.
+        """
         self._value = value
         self._is_written = False
-        self._next_attempt_at = self.clock.now()
+        interval_s = self._lifetime_s / RENEWALS_PER_LIFETIME
+        delay_s = self._random.uniform(0.0, interval_s) if is_spread else 0.0
+        due = self.clock.now() + delay_s
+        self._next_attempt_at = min(self._next_attempt_at, due) if is_spread else due
 
     def publish_departures(self, value: bytes) -> None:
         """Write the record of departures."""
+        self._departures = value
         self._unwritten_departures = value
         self._next_attempt_at = self.clock.now()
 
@@ -120,6 +129,7 @@
             if lease is None:
                 self._is_written = False
             self._lease = outcome
+            self._set_era(outcome.era)
             return True
         if outcome == NotDone(Cause.LEASE_EXPIRED):
             logger.warning("lease of the node's record expired")
@@ -127,6 +137,14 @@
             self._is_written = False
         return False
 
+    def _set_era(self, era: int) -> None:
+        """Write the departures again if the store may have lost them."""
+        if self._era is not None and era != self._era:
+            self._unwritten_departures = self._departures
+            if self._departures is not None:
+                self._next_attempt_at = self.clock.now()
+        self._era = era
+
     def _write(self) -> bool:
         """Write the node's record; return whether the store confirmed it."""
         assert self._lease is not None
@@ -157,7 +175,7 @@
 
 @handle_message.register(PublishNode)
 def _(message: PublishNode, publisher: Publisher) -> None:
-    publisher.publish(message.value)
+    publisher.publish(message.value, message.is_spread)
 
 
 @handle_message.register(PublishDepartures)
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -44,6 +44,7 @@
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.kernel.task import Task
 from monsoontray.logs import logger
+from monsoontray.store.eras import get_era
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -75,6 +76,7 @@
         #: Whether the store was read. Until then, and until departures are recovered,
         #: the record of an earlier process of this node is not replaced.
         self._is_listed = False
+        self._era = 0  # of the store, at the latest listing
         self._random = Random(self._node)
         self._location = Location(
             self._node, settings.get_string("region"), settings.get_string("zone")
@@ -99,8 +101,13 @@
         if self._directory.expire(now):
             self._update_servers()
 
-    def apply_listing(self, records: Sequence[Record]) -> None:
-        """Replace the listed nodes by those of the store's records."""
+    def apply_listing(self, records: Sequence[Record], revision: int = 0) -> None:
+        """Replace the listed nodes by those of the store's records.
+
+        A store that came back from a copy has lost records of many nodes.
+        """
+        is_copy = self._is_listed and get_era(revision) > self._era
+        self._era = max(self._era, get_era(revision))
         self._restore_departures(records)
         decoded = [
             self._decode_node(record)
@@ -119,7 +126,7 @@
         else:
             self._departures.ask_keepers()
         if own != [self._build_node()]:
-            self._publish()
+            self._publish(is_copy)
         self._update_servers()
 
     def apply_changes(self, message: StoreChanged) -> None:
@@ -293,11 +300,12 @@
                 self._update_guard()
                 self._update_servers()
 
-    def _publish(self) -> None:
+    def _publish(self, is_spread: bool = False) -> None:
         node = self._build_node()
         self._directory.add(node)
         if self._is_listed and self._departures.is_recovered:
-            self.kernel.post("publisher", PublishNode(msgspec.json.encode(node)))
+            value = msgspec.json.encode(node)
+            self.kernel.post("publisher", PublishNode(value, is_spread))
 
     def _update_guard(self) -> None:
         """Post the local server, if any, to the forwarding service."""
@@ -346,7 +354,7 @@
 
 @handle_message.register(StoreListed)
 def _(message: StoreListed, discovery: Discovery) -> None:
-    discovery.apply_listing(message.records)
+    discovery.apply_listing(message.records, message.revision)
 
 
 @handle_message.register(StoreChanged)
--- a/monsoontray/http/client.py
+++ b/monsoontray/http/client.py
@@ -10,7 +10,9 @@
 
 from monsoontray.decoding.documents import MAX_DOCUMENT_BYTES
 from monsoontray.forwarding.heads import (
+    NO_EXTRA_HEADERS,
     EndOfMessage,
+    ExtraHeaders,
     Framing,
     ResponseHead,
     encode_header,
@@ -52,15 +54,19 @@
 
     status: int
     body: bytes
+    headers: dict[bytes, bytes] = {}  # of those that the client reads
 
 
 class HttpClient:
     """Client that keeps one idle connection for each of the latest addresses."""
 
-    __slots__ = ("_clock", "_idle", "_max_idle")
+    __slots__ = ("_clock", "_headers", "_idle", "_max_idle")
 
-    def __init__(self, clock: Clock, max_idle: int) -> None:
+    def __init__(
+        self, clock: Clock, max_idle: int, headers: frozenset[bytes] = frozenset()
+    ) -> None:
         self._clock = clock
+        self._headers = ExtraHeaders(forwarded=headers)
         self._max_idle = max_idle
         self._idle: dict[Address, socket.socket] = {}
 
@@ -111,7 +117,7 @@
         self, sock: socket.socket, request: HttpRequest
     ) -> tuple[HttpResponse, bool]:
         """Return the response, and whether the connection can be reused."""
-        receiver = ResponseReceiver(request.method)
+        receiver = ResponseReceiver(request.method, self._headers)
         sent_at = self._clock.now()
         deadline = request.response_deadline
         receive_deadline = deadline + MAX_RECEIVE_S
@@ -149,8 +155,8 @@
 
     __slots__ = ("_head", "_parser", "_parts", "_size", "is_complete", "is_reusable")
 
-    def __init__(self, method: str) -> None:
-        self._parser = ResponseParser(HEAD_LIMITS)
+    def __init__(self, method: str, headers: ExtraHeaders = NO_EXTRA_HEADERS) -> None:
+        self._parser = ResponseParser(HEAD_LIMITS, headers)
         self._parser.expect_response(method)
         self._head: ResponseHead | None = None
         self._parts: list[bytes] = []
@@ -185,7 +191,8 @@
     def build_response(self) -> HttpResponse:
         """Return the complete response."""
         assert self._head is not None
-        return HttpResponse(self._head.status, b"".join(self._parts))
+        head = self._head
+        return HttpResponse(head.status, b"".join(self._parts), head.node_headers)
 
     def _add_part(self, part: bytes) -> None:
         self._parts.append(part)
--- a/monsoontray/platform/operator.py
+++ b/monsoontray/platform/operator.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from monsoontray.decisions.evacuations import Evacuations
 from monsoontray.decisions.routing import RouteTable
 from monsoontray.decoding.documents import decode_json
 from monsoontray.decoding.errors import DecodingError
@@ -19,6 +20,7 @@
 from monsoontray.logs import logger
 from monsoontray.platform.routes import decode_routes
 from monsoontray.rollouts.messages import RolloutOrdered
+from monsoontray.store.eras import get_era
 
 if TYPE_CHECKING:
     from monsoontray.store.outcomes import Record
@@ -47,8 +49,18 @@
         self._refused_rollouts = EntryRefusals(metrics, "rollout-order")
         self._version = 0
         self._evacuated_zones: frozenset[str] = frozenset()
+        self._evacuations = Evacuations()
 
-    def handle_listing(self, records: tuple[Record, ...]) -> None:
+    def find_next_deadline(self) -> float | None:
+        """Return when an evacuation ends that was not ordered again."""
+        return self._evacuations.find_next_deadline()
+
+    def on_deadline(self) -> None:
+        """End the evacuations that were not ordered again."""
+        self._evacuations.expire(self.clock.now())
+        self._update_evacuated_zones()
+
+    def handle_listing(self, records: tuple[Record, ...], revision: int) -> None:
         """Apply all orders in the store."""
         zones = set()
         for record in records:
@@ -56,11 +68,11 @@
                 zones.add(record.key.removeprefix(EVACUATE_PREFIX))
             else:
                 self._apply_order(record)
-        self._set_evacuated_zones(frozenset(zones))
+        self._evacuations.replace(zones, get_era(revision), self.clock.now())
+        self._update_evacuated_zones()
 
     def handle_changes(self, message: StoreChanged) -> None:
         """Apply orders that were written or removed."""
-        zones = set(self._evacuated_zones)
         # One message may report that a key was removed and written again: apply
         # the events in the order of their revisions, so that the last one prevails.
         events = [(record, False) for record in message.records]
@@ -70,11 +82,9 @@
             if zone == record.key:  # not an evacuation: the prefix is missing
                 if not removed:
                     self._apply_order(record)
-            elif removed:
-                zones.discard(zone)
             else:
-                zones.add(zone)
-        self._set_evacuated_zones(frozenset(zones))
+                self._evacuations.change(zone, not removed)
+        self._update_evacuated_zones()
 
     def _apply_order(self, record: Record) -> None:
         if record.key == CONFIG_KEY:
@@ -109,7 +119,8 @@
         )
         self.kernel.post("rollouts", order)
 
-    def _set_evacuated_zones(self, zones: frozenset[str]) -> None:
+    def _update_evacuated_zones(self) -> None:
+        zones = self._evacuations.get_zones()
         if zones != self._evacuated_zones:
             self._evacuated_zones = zones
             self.kernel.post("forwarding", UpdateEvacuatedZones(zones))
@@ -130,7 +141,7 @@
 
 @handle_message.register(StoreListed)
 def _(message: StoreListed, orders: OperatorOrders) -> None:
-    orders.handle_listing(message.records)
+    orders.handle_listing(message.records, message.revision)
 
 
 @handle_message.register(StoreChanged)
--- a/monsoontray/platform/store.py
+++ b/monsoontray/platform/store.py
@@ -4,7 +4,6 @@
 
 import base64
 from collections.abc import Sequence
-from functools import singledispatch
 from typing import Any
 from urllib.parse import urlencode
 
@@ -14,14 +13,11 @@
 from monsoontray.decoding.errors import DecodingError
 from monsoontray.decoding.values import Revision, Seconds, SequenceNumber
 from monsoontray.http.client import HttpClient, HttpRequest, HttpResponse
-from monsoontray.http.errors import (
-    ConnectError,
-    ConnectionLostError,
-    RequestError,
-    ResponseTimeoutError,
-)
+from monsoontray.http.errors import RequestError
 from monsoontray.kernel.clock import Clock
 from monsoontray.settings.settings import parse_url
+from monsoontray.store.eras import StoreEra
+from monsoontray.store.failures import classify_failure
 from monsoontray.store.outcomes import (
     ABSENT,
     Cause,
@@ -51,6 +47,8 @@
 _LEASE_NOT_FOUND = 404
 _PRECONDITION_FAILED = 412
 _COMPACTED = 410
+STORE_ERA_HEADER = b"store-era"
+_READ_HEADERS = frozenset((STORE_ERA_HEADER,))
 
 
 class ItemSchema(msgspec.Struct, frozen=True):
@@ -114,7 +112,8 @@
         self._clock = clock
         #: Store revisions at which keys were found not to exist.
         self._absence_revisions: dict[str, int] = {}
-        self._http = HttpClient(clock, MAX_IDLE_CONNECTIONS)
+        self.era = StoreEra()  # that the latest answer named
+        self._http = HttpClient(clock, MAX_IDLE_CONNECTIONS, _READ_HEADERS)
 
     def get(self, key: str) -> ReadOutcome:
         """Return the record of a key, with revision ABSENT if it does not exist."""
@@ -300,6 +299,8 @@
         except RequestError as error:
             self._current_endpoint = (self._current_endpoint + 1) % len(self._endpoints)
             return classify_failure(error)
+        if not self.era.read(response.headers.get(STORE_ERA_HEADER, b"")):
+            return Unknown(Cause.ERA_ENDED)
         return _classify_status(response)
 
 
@@ -313,27 +314,6 @@
     return fields
 
 
-@singledispatch
-def classify_failure(error: RequestError) -> NotDone | Unknown:
-    """Return what the failure of a request proves."""
-    return Unknown(Cause.BAD_RESPONSE)
-
-
-@classify_failure.register(ConnectError)
-def _(error: ConnectError) -> NotDone | Unknown:
-    return NotDone(Cause.UNREACHABLE)
-
-
-@classify_failure.register(ResponseTimeoutError)
-def _(error: ResponseTimeoutError) -> NotDone | Unknown:
-    return Unknown(Cause.TIMEOUT)
-
-
-@classify_failure.register(ConnectionLostError)
-def _(error: ConnectionLostError) -> NotDone | Unknown:
-    return Unknown(Cause.CONNECTION_LOST)
-
-
 def _classify_status(
     response: HttpResponse,
 ) -> HttpResponse | NotDone | Unknown:
--- a/monsoontray/rollouts/service.py
+++ b/monsoontray/rollouts/service.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
+from msgspec.structs import replace
 
 from monsoontray.decisions.rollouts import (
     FINAL_PHASES,
@@ -30,6 +31,7 @@
     UpdateRolloutPlans,
     VersionSuspected,
 )
+from monsoontray.store.eras import get_era
 from monsoontray.store.outcomes import Conflict, Done, Put, Record
 
 if TYPE_CHECKING:
@@ -48,6 +50,7 @@
     """Rollout of one service: its order, its plan and its times."""
 
     __slots__ = (
+        "is_lost",
         "next_check_at",
         "order",
         "phase_started_at",
@@ -67,6 +70,8 @@
             0.0,
         )
         self.revision = 0  # of the plan's record
+        #: The store came back from a copy without the plan that is in force.
+        self.is_lost = False
         self.started_at = now  # earliest known time of the order
         self.phase_started_at = now
         self.next_check_at = now
@@ -77,6 +82,7 @@
             self.phase_started_at = now
         self.plan = plan
         self.revision = revision
+        self.is_lost = False
         self.started_at = min(self.started_at, now - plan.elapsed_s)
 
 
@@ -97,7 +103,7 @@
         due = [
             rollout.next_check_at
             for rollout in self._rollouts.values()
-            if rollout.plan.phase not in FINAL_PHASES
+            if rollout.plan.phase not in FINAL_PHASES or rollout.is_lost
         ]
         return min(due, default=None)
 
@@ -105,7 +111,8 @@
         """Check the evidence of the rollouts that are due."""
         now = self.clock.now()
         for rollout in self._rollouts.values():
-            if rollout.plan.phase not in FINAL_PHASES and rollout.next_check_at <= now:
+            is_open = rollout.plan.phase not in FINAL_PHASES or rollout.is_lost
+            if is_open and rollout.next_check_at <= now:
                 rollout.next_check_at = now + CHECK_INTERVAL_S
                 if self._decider.acquire(rollout.order.service):
                     self._check(rollout)
@@ -118,12 +125,19 @@
         if known is not None and known.order.order >= order.order:
             return
         now = self.clock.now()
+        plan, revision = self._plans.get(order.service, (None, 0))
+        if known is not None and is_continued(known.plan, order):
+            known.order = order
+            known.plan = replace(known.plan, order=order.order)
+            known.revision = revision
+            known.is_lost = True
+            known.next_check_at = now
+            return
         rollout = Rollout(order, now)
         self._rollouts[order.service] = rollout
-        plan, revision = self._plans.get(order.service, (None, 0))
         rollout.revision = revision
-        if plan is not None and plan.order == order.order:
-            rollout.update_plan(plan, revision, now)
+        if plan is not None and is_continued(plan, order):
+            rollout.update_plan(replace(plan, order=order.order), revision, now)
         logger.bind(
             service=order.service, target=order.target, period_s=order.period_s
         ).info("rollout ordered")
@@ -164,15 +178,25 @@
         if rollout is None or record.revision <= rollout.revision:
             return
         rollout.revision = record.revision
-        if rollout.order.order == plan.order:
-            rollout.update_plan(plan, record.revision, now)
-            self._publish_plans()
+        if get_era(record.revision) > get_era(rollout.order.order):
+            return  # the order is about to be read again, in the record's era
+        if not is_continued(plan, rollout.order):
+            return
+        if rollout.is_lost and plan.elapsed_s < rollout.plan.elapsed_s:
+            return  # the copy has an earlier plan
+        rollout.update_plan(
+            replace(plan, order=rollout.order.order), record.revision, now
+        )
+        self._publish_plans()
 
     def _check(self, rollout: Rollout) -> None:
         """Read the evidence, and write the plan if its phase changes."""
         now = self.clock.now()
         plan = rollout.plan
         evidence = self._evidence.read(plan.service)
+        if rollout.is_lost and plan.elapsed_s:
+            self._write(rollout, plan, evidence)
+            return
         elapsed_s = now - rollout.started_at
         phase = decide_phase(plan, elapsed_s, now - rollout.phase_started_at, evidence)
         # The first plan of an order is written even if its phase is unchanged. A plan
@@ -232,6 +256,17 @@
         self.kernel.post("forwarding", UpdateRolloutPlans(plans))
 
 
+def is_continued(plan: RolloutPlan, order: RolloutOrdered) -> bool:
+    """Return whether a plan is of an order, or of the same one in an earlier era.
+
+    A store that came back from a copy names the same order by another revision.
+    """
+    if plan.order == order.order:
+        return True
+    is_same = (plan.target, plan.period_s) == (order.target, order.period_s)
+    return is_same and get_era(plan.order) < get_era(order.order)
+
+
 def decode_plan(record: Record) -> RolloutPlan:
     """Return the plan in a record; raise DecodingError."""
     plan: RolloutPlan = decode_json(record.value, RolloutPlan)
--- a/monsoontray/store/outcomes.py
+++ b/monsoontray/store/outcomes.py
@@ -23,6 +23,7 @@
 
     lease_id: str
     deadline: float  # monotonic seconds: time before the request plus the lifetime
+    era: int = 0  # of the store
 
 
 class Done(Struct, frozen=True):
@@ -47,6 +48,7 @@
     CONNECTION_LOST = "connection-lost"
     BAD_RESPONSE = "bad-response"
     LEASE_EXPIRED = "lease-lapsed"
+    ERA_ENDED = "era-ended"  # the store came back from a copy meanwhile
 
 
 class NotDone(Struct, frozen=True):
--- a/monsoontray/store/service.py
+++ b/monsoontray/store/service.py
@@ -6,6 +6,7 @@
 
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.platform.store import PlatformStoreClient
+from monsoontray.store.positions import PositionedStoreClient
 
 if TYPE_CHECKING:
     from monsoontray.settings.settings import Settings
@@ -25,7 +26,8 @@
         """Return a new client for the calling task."""
         endpoints = self._settings.get_strings("store_endpoints")
         timeout_s = self._settings.get_seconds("store_timeout_ms")
-        return PlatformStoreClient(endpoints, timeout_s, self._kernel.clock)
+        client = PlatformStoreClient(endpoints, timeout_s, self._kernel.clock)
+        return PositionedStoreClient(client)
 
     def start(self) -> None:
         """Do nothing: clients connect when first used."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,6 +8,7 @@
 from monsoontray.discovery.messages import ChooseStoreAccess
 from monsoontray.kernel.clock import ManualClock
 from monsoontray.settings.settings import check_settings
+from monsoontray.store.eras import build_position, get_revision
 from monsoontray.store.outcomes import (
     ABSENT,
     Cause,
@@ -47,6 +48,7 @@
         self.leases: dict[str, float] = {}
         self.lease_ids: dict[str, str] = {}  # by key; empty for none
         self.revision = 1
+        self.era = 0
         self.unreachable = False
         self.loses_write_responses = False
         self.compacted = False
@@ -64,6 +66,28 @@
             self.revision += 1
             self.events.append((Record(key, self.revision, b""), False))
 
+    def take_copy(self):
+        return dict(self.records), dict(self.leases), dict(self.lease_ids)
+
+    def come_back(self, copy):
+        """Come back from a copy; no client acts on a lease of an earlier era."""
+        records, leases, lease_ids = copy
+        self.era += 1
+        self.records = {
+            key: Record(key, self._reposition(record.revision), record.value)
+            for key, record in records.items()
+        }
+        self.leases = {f"old-{name}": until for name, until in leases.items()}
+        self.lease_ids = {key: f"old-{name}" for key, name in lease_ids.items() if name}
+        self.revision = max(
+            (record.revision for record in self.records.values()),
+            default=build_position(self.era, 1),
+        )
+        self.events = []
+
+    def _reposition(self, position):
+        return build_position(self.era, get_revision(position))
+
     def expire_lease(self, lease_id):
         self.leases.pop(lease_id, None)
         for key in [k for k, each in self.lease_ids.items() if each == lease_id]:
@@ -121,7 +145,7 @@
         name = str(len(self.leases) + 100 + self.revision)
         self.revision += 1
         self.leases[name] = self.clock.now() + lifetime_s
-        return Lease(name, self.leases[name])
+        return Lease(name, self.leases[name], self.era)
 
     def renew_lease(self, lease_id, lifetime_s):
         if self.unreachable:
@@ -129,7 +153,7 @@
         if lease_id not in self.leases:
             return NotDone(Cause.LEASE_EXPIRED)
         self.leases[lease_id] = self.clock.now() + lifetime_s
-        return Lease(lease_id, self.leases[lease_id])
+        return Lease(lease_id, self.leases[lease_id], self.era)
 
     def revoke_lease(self, lease_id):
         self.expire_lease(lease_id)
