--- a/monsoontray/platform/store.py
+++ b/monsoontray/platform/store.py
@@ -16,6 +16,7 @@
 from monsoontray.http.errors import RequestError
 from monsoontray.kernel.clock import Clock
 from monsoontray.settings.settings import parse_url
+from monsoontray.store.eras import StoreEra
 from monsoontray.store.failures import classify_failure, classify_status
 from monsoontray.store.outcomes import (
     ABSENT,
@@ -46,6 +47,8 @@
 _LEASE_NOT_FOUND = 404
 _PRECONDITION_FAILED = 412
 _COMPACTED = 410
+STORE_ERA_HEADER = b"store-era"
+_READ_HEADERS = frozenset((STORE_ERA_HEADER,))
 
 
 class ItemSchema(msgspec.Struct, frozen=True):
@@ -109,7 +112,8 @@
         self._clock = clock
         #: Store revisions at which keys were found not to exist.
         self._absence_revisions: dict[str, int] = {}
-        self._http = HttpClient(clock, MAX_IDLE_CONNECTIONS)
+        self.era = StoreEra()  # that the latest answer named
+        self._http = HttpClient(clock, MAX_IDLE_CONNECTIONS, _READ_HEADERS)
 
     def get(self, key: str) -> ReadOutcome:
         """Return the record of a key, with revision ABSENT if it does not exist."""
@@ -295,6 +299,8 @@
         except RequestError as error:
             self._current_endpoint = (self._current_endpoint + 1) % len(self._endpoints)
             return classify_failure(error)
+        if not self.era.read(response.headers.get(STORE_ERA_HEADER, b"")):
+            return Unknown(Cause.ERA_ENDED)
         return classify_status(response)
 
 
--- a/monsoontray/store/service.py
+++ b/monsoontray/store/service.py
@@ -7,6 +7,7 @@
 
 from monsoontray.kernel.kernel import Kernel, Registration
 from monsoontray.platform.store import PlatformStoreClient
+from monsoontray.store.positions import PositionedStoreClient
 
 if TYPE_CHECKING:
     from monsoontray.settings.settings import Settings
@@ -26,7 +27,8 @@
         """Return a new client for the calling task."""
         endpoints = self._settings.get_strings("store_endpoints")
         timeout_s = min(self._settings.get_seconds("store_timeout_ms"), max_timeout_s)
-        return PlatformStoreClient(endpoints, timeout_s, self._kernel.clock)
+        client = PlatformStoreClient(endpoints, timeout_s, self._kernel.clock)
+        return PositionedStoreClient(client)
 
     def start(self) -> None:
         """Do nothing: clients connect when first used."""
