--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -9,10 +9,10 @@
 ORDER_ROUTE = build_route("/order/", "one", kind="non_idempotent")
 
 
-def start_mesh(mesh, count=2, version="v1"):
+def start_mesh(mesh, count=2, version="v1", **settings):
     mesh.write_key("op/config", build_configuration(1, READ_ROUTE, ORDER_ROUTE))
     for i in range(count):
-        node = mesh.add_node(f"node-{i}", f"zone-{i}", "one")
+        node = mesh.add_node(f"node-{i}", f"zone-{i}", "one", **settings)
         mesh.start_server(node, f"i-{i}", version)
     mesh.wait_for_servers(count)
     for node in mesh.nodes:
