Bound what a node holds for crowds of callers

A head's lines were counted only once it was complete, a read of small requests was parsed at once, responses that a client didn't read had no bound, and nothing bounded what all connections held together. The parser kept the last head until the next read, and a closed connection's headers stayed until the garbage collector ran.

One account, measured again when enough has come in, bounds what all connections hold to 40 % of memory_mb; those that wait for their client, hold most and move least give way first, as refusals that say not run where it is true. A tenth of max_descriptors is kept. max_header_count was 100, which legal heads exceed; its default now is 8,192.

Crowd and bounds of the test are unchanged; its crowds of memory now run without the limit of descriptors, which is stricter.

--- a/monsoontray/decisions/outcomes.py
+++ b/monsoontray/decisions/outcomes.py
@@ -55,6 +55,7 @@
     POISON = "poison"
     BODY_TOO_LARGE = "body-too-large"
     TOO_MANY_CONNECTIONS = "too-many-connections"
+    TOO_MUCH_HELD = "too-much-held"  # by the node, for all its callers
 
 
 class Refusal(Struct, frozen=True):
--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -12,7 +12,9 @@
 from monsoontray.decisions.retries import is_idempotent_method
 from monsoontray.forwarding.connection import Connection
 from monsoontray.forwarding.heads import EndOfMessage, RequestHead
+from monsoontray.forwarding.intake import Intake
 from monsoontray.forwarding.parsing import Malformed, RequestEvent, RequestParser
+from monsoontray.forwarding.sides import find_head_limits
 from monsoontray.forwarding.transaction import HttpTransaction
 
 if TYPE_CHECKING:
@@ -30,24 +32,23 @@
 
     __slots__ = (
         "_deadline",
-        "_lingering",
-        "_parser",
-        "_pending_events",
         "_processing",
         "_timer",
-        "_transactions",
         "forwarder",
+        "intake",
+        "is_lingering",
         "side",
+        "transactions",
     )
 
     def __init__(self, sock: socket.socket, forwarder: Forwarder, side: Any) -> None:
         self.forwarder = forwarder
         super().__init__(sock, forwarder)
         self.side = side
-        self._parser = RequestParser(forwarder.limits.head, side.extra_headers)
-        self._transactions: deque[HttpTransaction] = deque()
-        self._pending_events: deque[RequestEvent] = deque()
-        self._lingering = False
+        head_limits = find_head_limits(side, forwarder.limits.head)
+        self.intake = Intake(RequestParser(head_limits, side.extra_headers))
+        self.transactions: deque[HttpTransaction] = deque()
+        self.is_lingering = False
         self._processing = False
         self._deadline = forwarder.now + forwarder.limits.idle_timeout_s
         self._timer: Timer | None = None
@@ -55,43 +56,39 @@
 
     def is_current(self, transaction: HttpTransaction) -> bool:
         """Return whether the response of a transaction may be written now."""
-        return bool(self._transactions) and self._transactions[0] is transaction
+        return bool(self.transactions) and self.transactions[0] is transaction
 
     def is_last(self, transaction: HttpTransaction) -> bool:
         """Return whether no request has been read behind that of a transaction."""
-        return not self._transactions or self._transactions[-1] is transaction
+        return not self.transactions or self.transactions[-1] is transaction
 
     def on_data(self, data: bytes) -> None:
         """Parse received bytes and handle the requests in them."""
-        if self._lingering:
+        if self.is_lingering:
             return
-        parser = self._parser
-        was_in_progress = parser.head_in_progress
-        events = parser.feed(data)
-        if parser.head_in_progress:
-            self._start_head_timeout(was_in_progress)
-        else:
-            self._deadline = self.forwarder.now + self.forwarder.limits.idle_timeout_s
-        self._pending_events.extend(events)
+        self.forwarder.account.add(len(data))
+        self.intake.add(data)
         self._process_pending()
 
     def on_connection_lost(self) -> None:
         """Close the connection and cancel its calls."""
-        transactions, self._transactions = self._transactions, deque()
+        transactions, self.transactions = self.transactions, deque()
         self.close()
         _cancel_calls(transactions)
 
     def on_sent(self) -> None:
         """Resume reading the current response if enough of it was sent."""
-        if self._lingering:
+        if self.is_lingering:
             self._deadline = self.forwarder.now + LINGER_S
             self._shut_down_writing()
             return
         self._deadline = self.forwarder.now + self.forwarder.limits.idle_timeout_s
-        if self._transactions:
-            call = self._transactions[0].call
+        if self.transactions:
+            call = self.transactions[0].call
             if call is not None:
                 call.request.resume_response(self.unsent_bytes)
+        if not self.intake.is_empty:
+            self._process_pending()
 
     def close(self) -> None:
         """Close the socket and cancel its timer."""
@@ -100,23 +97,24 @@
         if self._timer is not None:
             self.forwarder.timers.cancel(self._timer)
         super().close()
+        self.intake.clear()
         self.forwarder.remove_caller(self)
 
     def begin_request(self, head: RequestHead) -> None:
         """Start the call of a request."""
         transaction = HttpTransaction(self, head)
-        self._transactions.append(transaction)
+        self.transactions.append(transaction)
         self.forwarder.start_call(self, transaction, head)
 
     def forward_body(self, part: bytes) -> None:
         """Forward a part of the request's body."""
-        transaction = self._find_incoming()
+        transaction = self.find_incoming()
         if transaction is not None and transaction.call is not None:
             transaction.call.receive_body(part)
 
     def end_request(self) -> None:
         """Forward the end of the request."""
-        transaction = self._find_incoming()
+        transaction = self.find_incoming()
         if transaction is not None:
             transaction.receiving_request = False
             if transaction.call is not None:
@@ -128,7 +126,7 @@
         """Refuse a malformed request and close the connection."""
         refusal = refuse_not_run(malformed.reason)
         call_id = ""
-        transaction = self._find_incoming()
+        transaction = self.find_incoming()
         if transaction is not None and transaction.call is not None:
             call = transaction.call
             call_id = call.call_id
@@ -143,7 +141,7 @@
             if transaction is not None:
                 transaction.receiving_request = False
             transaction = HttpTransaction(self, None)
-            self._transactions.append(transaction)
+            self.transactions.append(transaction)
         transaction.closes_connection = True
         self.forwarder.report.record_refused_connection(refusal, malformed.detail)
         transaction.refuse(refusal, None, call_id)
@@ -151,42 +149,42 @@
     def refuse_connection(self, refusal: Refusal) -> None:
         """Refuse the connection before any request and close it."""
         transaction = HttpTransaction(self, None)
-        self._transactions.append(transaction)
+        self.transactions.append(transaction)
         self.forwarder.report.record_refused_connection(refusal, "")
         transaction.refuse(refusal, None)
 
     def resume_if_allowed(self) -> None:
         """Resume reading unless received requests are still waiting."""
-        if not self._pending_events:
+        if self.intake.is_empty:
             self.resume_reading()
 
     def advance(self) -> None:
         """Remove complete transactions and write the responses that follow."""
-        while self._transactions and not self._lingering:
-            first = self._transactions[0]
+        while self.transactions and not self.is_lingering:
+            first = self.transactions[0]
             if not first.done or (
                 first.receiving_request and not first.closes_connection
             ):
                 break
-            self._transactions.popleft()
+            self.transactions.popleft()
             if first.was_cut or first.closes_connection:
                 self._linger()
                 return
-            if self._transactions:
-                for part in self._transactions[0].pop_buffered():
+            if self.transactions:
+                for part in self.transactions[0].pop_buffered():
                     self.write(part)
         self._process_pending()
 
     def close_if_idle(self) -> None:
         """Close the connection if it has no call and no request waits to be read."""
-        is_used = self._transactions or self._pending_events or self._lingering
+        is_used = self.transactions or not self.intake.is_empty or self.is_lingering
         if not is_used and not self.has_unread_bytes():
             self.close()
 
-    def _find_incoming(self) -> HttpTransaction | None:
+    def find_incoming(self) -> HttpTransaction | None:
         """Return the transaction whose request is still being received."""
-        if self._transactions and self._transactions[-1].receiving_request:
-            return self._transactions[-1]
+        if self.transactions and self.transactions[-1].receiving_request:
+            return self.transactions[-1]
         return None
 
     def _process_pending(self) -> None:
@@ -194,39 +192,62 @@
         if self._processing:
             return
         self._processing = True
-        events = self._pending_events
-        while events and not self._lingering and not self.closed:
+        events = self.intake.events
+        while not self.is_lingering and not self.closed:
+            if not events and self._parse():
+                continue
+            if not events:
+                break
             if not self._can_process(events[0]):
                 self.pause_reading()
                 break
             event = events.popleft()
             _HANDLERS[event.__class__](event, self)
         self._processing = False
-        transaction = self._find_incoming()
-        if not events and (transaction is None or not transaction.paused):
+        transaction = self.find_incoming()
+        if self.intake.is_empty and (transaction is None or not transaction.paused):
             self.resume_reading()
 
+    def _parse(self) -> bool:
+        """Parse received bytes; return whether there were any."""
+        intake = self.intake
+        was_in_progress = intake.head_in_progress
+        cost = intake.measure()
+        if not intake.parse():
+            return False
+        self.forwarder.account.add(max(0, intake.measure() - cost))
+        if intake.head_in_progress:
+            self._start_head_timeout(was_in_progress)
+        else:
+            self._deadline = self.forwarder.now + self.forwarder.limits.idle_timeout_s
+        return True
+
     def _can_process(self, event: RequestEvent) -> bool:
         """Return whether an event may be handled before earlier calls have ended.
 
         Only requests with idempotent methods are served concurrently.
         """
-        if self._find_incoming() is not None or not self._transactions:
+        if self.find_incoming() is not None:
+            return True
+        # A caller that reads no responses gets no further ones.
+        if self.unsent_bytes > self.forwarder.limits.stream_buffer_bytes:
+            return False
+        if not self.transactions:
             return True
         if not isinstance(event, RequestHead):
             return False
         # No response can be sent behind one that closes the connection.
-        if self._transactions[-1].closes_connection:
+        if self.transactions[-1].closes_connection:
             return False
-        has_room = len(self._transactions) < MAX_PIPELINED
+        has_room = len(self.transactions) < MAX_PIPELINED
         return has_room and is_idempotent_method(event.method)
 
     def _linger(self) -> None:
         """Discard further input for a while, so that what was written arrives."""
-        self._lingering = True
-        self._pending_events.clear()
+        self.is_lingering = True
+        self.intake.clear()
         # Requests after the one whose response closes the connection count as unread.
-        transactions, self._transactions = self._transactions, deque()
+        transactions, self.transactions = self.transactions, deque()
         _cancel_calls(transactions)
         self._deadline = self.forwarder.now + LINGER_S
         if self._timer is not None:
@@ -256,14 +277,14 @@
     def _check_deadline(self) -> None:
         """Close the connection, or refuse its request, if it timed out."""
         now = self.forwarder.now
-        incoming = self._find_incoming()
-        if self._transactions and incoming is None and not self.unsent_bytes:
+        incoming = self.find_incoming()
+        if self.transactions and incoming is None and not self.unsent_bytes:
             self._deadline = now + self.forwarder.limits.idle_timeout_s
         if self._deadline > now:
             self._arm_timer()
-        elif self._lingering or self.unsent_bytes:
+        elif self.is_lingering or self.unsent_bytes:
             self.on_connection_lost()
-        elif self._parser.head_in_progress:
+        elif self.intake.head_in_progress:
             self.reject(
                 Malformed(Reason.HEAD_TIMEOUT, "timed out while receiving the head")
             )
--- a/monsoontray/forwarding/connection.py
+++ b/monsoontray/forwarding/connection.py
@@ -22,6 +22,7 @@
 class SocketLoop(Protocol):
     """What a connection needs of the task that owns it."""
 
+    now: float  # monotonic seconds of the current event
     dirty_connections: list[Connection]  # whose output is sent after the current event
 
     def add_socket(self, descriptor: int, owner: SocketOwner, events: int) -> None:
@@ -45,6 +46,7 @@
         "closed",
         "dirty",
         "is_reset",
+        "moved_at",
         "paused",
         "sock",
         "unsent_bytes",
@@ -58,6 +60,7 @@
         self.closed = False
         self.dirty = False  # waits for flush in forwarder.dirty_connections
         self.is_reset = False  # a call on the socket has reported an error
+        self.moved_at = loop.now  # when the other side last accepted bytes
         self.paused = False  # received bytes stay in the socket
         self.unsent_bytes = 0
         self._output: list[bytes] = []
@@ -98,6 +101,8 @@
         except OSError:
             self._discard_output()
             return
+        if sent:
+            self.moved_at = self._loop.now
         self.unsent_bytes -= sent
         if sent == len(data):
             self._output.clear()
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -23,12 +23,14 @@
     ServerTable,
 )
 from monsoontray.decisions.timeouts import ResponseTimes
+from monsoontray.forwarding.account import Account
 from monsoontray.forwarding.announcements import Departures
 from monsoontray.forwarding.call import Call
 from monsoontray.forwarding.caller import CallerConnection
 from monsoontray.forwarding.containment import RequestContainment
 from monsoontray.forwarding.guards import LocalGuards
 from monsoontray.forwarding.heads import RequestHead
+from monsoontray.forwarding.holdings import CALL_COST, find_holding
 from monsoontray.forwarding.interfaces import build_interface
 from monsoontray.forwarding.limits import read_limits
 from monsoontray.forwarding.listener import Listener
@@ -54,6 +56,7 @@
 from monsoontray.settings.settings import parse_address
 
 if TYPE_CHECKING:
+    from monsoontray.decisions.crowds import Holding
     from monsoontray.decisions.guard import GuardState
     from monsoontray.decisions.rollouts import RolloutPlan
     from monsoontray.decisions.routing import RouteTable
@@ -83,6 +86,9 @@
         super().__init__(NAME, kernel, handle_message)
         settings: Settings = kernel.find("settings").settings
         self.limits = read_limits(settings)
+        memory_mb = settings.get_int("memory_mb")
+        descriptors = settings.get_int("max_descriptors")
+        self.account = Account(self, memory_mb, descriptors)
         self.location = Location(
             settings.get_string("node"),
             settings.get_string("region"),
@@ -157,6 +163,8 @@
 
     def finish_event(self) -> None:
         """Flush the connections that were written to during the event."""
+        if self.account.is_room_used:
+            self.account.relieve()
         while self.dirty_connections:
             dirty, self.dirty_connections = self.dirty_connections, []
             for connection in dirty:
@@ -166,9 +174,19 @@
         """Add a new connection, or refuse it if there are too many."""
         caller = CallerConnection(sock, self, side)
         self._callers.add(caller)
-        if len(self._callers) > self.limits.max_caller_connections:
+        if not self.account.admit_connection():
+            caller.close()
+        elif len(self._callers) > self.limits.max_caller_connections:
             caller.refuse_connection(refuse_not_run(Reason.TOO_MANY_CONNECTIONS))
 
+    def count_connections(self) -> int:
+        """Return how many connections of callers and to servers are open."""
+        return len(self._callers) + self.pool.open_count
+
+    def find_holdings(self) -> list[Holding]:
+        """Return what is held for each caller's connection."""
+        return [find_holding(caller) for caller in self._callers]
+
     def remove_caller(self, caller: CallerConnection) -> None:
         """Remove a connection that was closed."""
         self._callers.discard(caller)
@@ -188,6 +206,7 @@
             return
         call = Call(self, transaction, head, route, call_id)
         self._calls.add(call)
+        self.account.add(CALL_COST)
         transaction.call = call
         call.start()
 
@@ -229,6 +248,7 @@
         """Apply changed limits; changed addresses need a restart."""
         self._interface = build_interface(settings)
         self.limits = read_limits(settings)
+        self.account.update_budget(settings.get_int("memory_mb"))
         self.guards.update_interface(self._interface)
         self.budgets.set_bounds(self._interface.bounds)
         if self.route_table is not None:
--- a/monsoontray/forwarding/framing.py
+++ b/monsoontray/forwarding/framing.py
@@ -5,6 +5,10 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+from msgspec import Struct
+
 from monsoontray.decisions.outcomes import Reason
 from monsoontray.forwarding.errors import MalformedMessageError
 from monsoontray.forwarding.heads import (
@@ -16,6 +20,9 @@
 )
 
 MAX_DECIMAL_DIGITS = 15
+MIN_HEADER_BYTES = 3  # the colon and the end of the line
+#: Memory that a short header takes beside its bytes: an object and a reference.
+HEADER_COST = 96
 _HTTP_VERSION = "1.1"
 _PERSISTENCE_OPTIONS = (b"keep-alive", b"close")
 #: Headers that apply to one connection only, or to the framing of the message.
@@ -37,24 +44,80 @@
 )
 
 
+class HeadLimits(Struct, frozen=True):
+    """Limits of the head of a message."""
+
+    header_count: int
+    head_bytes: int
+
+
 class HeaderCollector:
     """The headers of one message, grouped by how they are used."""
 
-    __slots__ = ("_forwarded", "_stripped", "hop_by_hop", "lines", "node_headers")
+    __slots__ = (
+        "_collects",
+        "_forwarded",
+        "_header_bytes",
+        "_header_count",
+        "_limits",
+        "_parser",
+        "_stripped",
+        "hop_by_hop",
+        "lines",
+        "node_headers",
+    )
 
-    def __init__(self, extra_headers: ExtraHeaders) -> None:
+    def __init__(self, limits: HeadLimits, extra_headers: ExtraHeaders) -> None:
+        self._limits = limits
+        self._parser: Any = None
         self._forwarded = extra_headers.forwarded
         self._stripped = extra_headers.stripped
         self.reset_headers()
 
+    @property
+    def headers_cost(self) -> int:
+        """Return the memory that the headers received so far may take, in bytes."""
+        return self._header_bytes + self._header_count * HEADER_COST
+
     def reset_headers(self) -> None:
         """Prepare for the next message."""
         self.hop_by_hop: Headers = []
         self.lines: list[bytes] = []
         self.node_headers: dict[bytes, bytes] = {}
+        self._header_count = 0
+        self._header_bytes = 0
+        self._collects = True
+
+    def close(self) -> None:
+        """Drop the headers and the parser, which refer to each other.
+
+        The garbage collector would find them late: it doesn't count header lines.
+        """
+        self.reset_headers()
+        self._parser = None
+
+    def begin_trailers(self) -> None:
+        """Drop the headers of the head; trailers are counted and dropped."""
+        self.reset_headers()
+        self._collects = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; the parser has checked its characters."""
+        """Add a header; the parser has checked its characters.
+
+        Raise MalformedMessageError if the limits are exceeded.
+        """
+        self._header_count += 1
+        self._header_bytes += len(name) + len(value) + MIN_HEADER_BYTES
+        limits = self._limits
+        if (
+            self._header_count > limits.header_count
+            or self._header_bytes > limits.head_bytes
+        ):
+            raise MalformedMessageError(
+                Reason.HEAD_TOO_LARGE, "too many or too large headers"
+            )
+        if not self._collects:
+            return
         name, value = name.lower(), value.rstrip()
         if name in HOP_BY_HOP_HEADERS:
             self.hop_by_hop.append((name, value))
@@ -65,29 +128,22 @@
                 self.node_headers[name] = value
             self.lines.append(b"".join((name, b": ", value, b"\r\n")))
 
-    def count_headers(self) -> int:
-        """Return the number of collected headers."""
-        return len(self.hop_by_hop) + len(self.lines) + len(self.node_headers)
-
-    def estimate_headers_bytes(self) -> int:
-        """Return the approximate size of the headers."""
-        node_bytes = sum(
-            len(name) + len(value) for name, value in self.node_headers.items()
-        )
-        return sum(map(len, self.lines)) + node_bytes
-
     def drop_connection_options(self) -> None:
         """Remove the headers that the Connection header lists as hop-by-hop.
 
         The Host header stays, because no request is valid without it.
         """
-        for name, value in self.hop_by_hop:
-            if name == b"connection" and value.lower() not in _PERSISTENCE_OPTIONS:
-                tokens = {token.strip().lower() for token in value.split(b",")}
-                prefixes = tuple(each + b": " for each in tokens - {b"", b"host"})
-                self.lines = [
-                    line for line in self.lines if not line.startswith(prefixes)
-                ]
+        tokens = {
+            token.strip().lower()
+            for name, value in self.hop_by_hop
+            if name == b"connection" and value.lower() not in _PERSISTENCE_OPTIONS
+            for token in value.split(b",")
+        }
+        dropped = tokens - {b"", b"host"}
+        if dropped:
+            self.lines = [
+                line for line in self.lines if line.partition(b":")[0] not in dropped
+            ]
 
 
 def find_request_framing(
--- a/monsoontray/forwarding/heads.py
+++ b/monsoontray/forwarding/heads.py
@@ -42,6 +42,7 @@
     length: int
     keep_alive: bool
     expects_continue: bool
+    cost: int = 0  # memory that its headers take, in bytes
 
     @property
     def has_body(self) -> bool:
--- a/monsoontray/forwarding/parsing.py
+++ b/monsoontray/forwarding/parsing.py
@@ -9,6 +9,7 @@
 from monsoontray.forwarding.errors import MalformedMessageError
 from monsoontray.forwarding.framing import (
     HeaderCollector,
+    HeadLimits,
     expects_continue,
     find_host,
     find_keep_alive_s,
@@ -39,13 +40,6 @@
     detail: str
 
 
-class HeadLimits(Struct, frozen=True):
-    """Limits of the head of a message."""
-
-    header_count: int
-    head_bytes: int
-
-
 RequestEvent = RequestHead | bytes | EndOfMessage | Malformed
 ResponseEvent = ResponseHead | bytes | EndOfMessage | ContinueReceived | Malformed
 
@@ -54,11 +48,10 @@
     """Parser of the requests of one connection."""
 
     __slots__ = (
+        "_body_parts",
         "_bytes_since_event",
         "_events",
-        "_feed_bytes",
-        "_limits",
-        "_parser",
+        "_missing_bytes",
         "_target",
         "head_in_progress",
     )
@@ -66,28 +59,31 @@
     def __init__(
         self, limits: HeadLimits, extra_headers: ExtraHeaders = NO_EXTRA_HEADERS
     ) -> None:
-        super().__init__(extra_headers)
-        self._limits = limits
+        super().__init__(limits, extra_headers)
         self._parser = httptools.HttpRequestParser(self)
         self._events: list[RequestEvent] = []
         self._target = b""
+        self._body_parts: list[bytes] = []  # since the last event
+        self._missing_bytes = 0  # of a body with a length
         self.head_in_progress = False  # a part of a head was received
-        self._feed_bytes = 0  # bytes passed to the current call of feed
         self._bytes_since_event = 0  # bytes of earlier calls since the last event
 
     def feed(self, data: bytes) -> list[RequestEvent]:
         """Parse bytes and return the resulting events."""
         events: list[RequestEvent] = []
         self._events = events
-        self._feed_bytes = len(data)
+        malformed = None
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            events.append(
-                Malformed(Reason.UNSUPPORTED, "protocol upgrades are not supported")
-            )
+            detail = "protocol upgrades are not supported"
+            malformed = Malformed(Reason.UNSUPPORTED, detail)
         except httptools.HttpParserError as error:
-            events.append(_build_malformed(error))
+            malformed = _build_malformed(error)
+        self._flush_body()
+        self._events = []  # heads are not kept until the next call
+        if malformed is not None:
+            events.append(malformed)
         self._bytes_since_event = 0 if events else self._bytes_since_event + len(data)
         if self._bytes_since_event > self._limits.head_bytes:
             detail = "the head, trailers or chunk extensions are too large"
@@ -109,7 +105,6 @@
     def on_headers_complete(self) -> None:
         """Emit the head."""
         self.head_in_progress = False
-        _check_limits(self, self._limits, self._bytes_since_event + self._feed_bytes)
         parser = self._parser
         framing, length = find_request_framing(self, parser.get_http_version())
         self.drop_connection_options()
@@ -127,18 +122,34 @@
             length,
             parser.should_keep_alive(),
             expects_continue(self),
+            self.headers_cost,
         )
-        self.reset_headers()  # trailers are dropped
+        self._missing_bytes = length
+        self._target = b""
+        self.begin_trailers()
         self._events.append(head)
 
     def on_body(self, part: bytes) -> None:
-        """Emit a body part."""
-        self._events.append(part)
+        """Collect a body part."""
+        self._missing_bytes -= len(part)
+        self._body_parts.append(part)
 
     def on_message_complete(self) -> None:
         """Emit the end of the message."""
+        self._flush_body()
         self._events.append(END_OF_MESSAGE)
 
+    def is_inside_body(self, size: int) -> bool:
+        """Return whether the next bytes, of a given number, are all of one body."""
+        return self._missing_bytes >= size
+
+    def _flush_body(self) -> None:
+        """Emit the collected parts as one, since small chunks are costly to forward."""
+        parts = self._body_parts
+        if parts:
+            self._events.append(parts[0] if len(parts) == 1 else b"".join(parts))
+            parts.clear()
+
 
 class ResponseParser(HeaderCollector):
     """Parser of the responses of one connection.
@@ -151,19 +162,15 @@
         "_body_parts",
         "_bytes_since_event",
         "_events",
-        "_feed_bytes",
         "_informational",
-        "_limits",
         "_method",
-        "_parser",
         "head_in_progress",
     )
 
     def __init__(
         self, limits: HeadLimits, extra_headers: ExtraHeaders = NO_EXTRA_HEADERS
     ) -> None:
-        super().__init__(extra_headers)
-        self._limits = limits
+        super().__init__(limits, extra_headers)
         self._events: list[ResponseEvent] = []
         self._method = ""
         self._informational = False
@@ -171,7 +178,6 @@
         self._body_parts: list[bytes] = []  # since the last event
         self._parser = httptools.HttpResponseParser(self)
         self.head_in_progress = False  # a part of a head was received
-        self._feed_bytes = 0  # bytes passed to the current call of feed
         self._bytes_since_event = 0  # bytes of earlier calls since the last event
 
     def expect_response(self, method: str) -> None:
@@ -185,7 +191,6 @@
         """Parse bytes and return the resulting events."""
         events: list[ResponseEvent] = []
         self._events = events
-        self._feed_bytes = len(data)
         malformed = None
         try:
             self._parser.feed_data(data)
@@ -197,6 +202,7 @@
             detail = _build_malformed(error).detail
             malformed = Malformed(Reason.BAD_RESPONSE, detail)
         self._flush_body()
+        self._events = []  # heads are not kept until the next call
         if malformed is not None:
             events.append(malformed)
         self._bytes_since_event = 0 if events else self._bytes_since_event + len(data)
@@ -218,7 +224,6 @@
             if status == CONTINUE_STATUS:
                 self._events.append(CONTINUE_RECEIVED)
             return
-        _check_limits(self, self._limits, self._bytes_since_event + self._feed_bytes)
         framing, length = find_response_framing(self, status, self._method)
         self.drop_connection_options()
         keep_alive = self._parser.should_keep_alive()
@@ -231,7 +236,7 @@
             keep_alive,
             find_keep_alive_s(self),
         )
-        self.reset_headers()  # trailers are dropped
+        self.begin_trailers()
         self._events.append(head)
         if self._method == "HEAD":
             self._body_forbidden = True
@@ -264,17 +269,6 @@
     return head.framing is not Framing.UNTIL_CLOSE
 
 
-def _check_limits(
-    collected: HeaderCollector, limits: HeadLimits, read_bytes: int
-) -> None:
-    if collected.count_headers() > limits.header_count:
-        raise MalformedMessageError(Reason.HEAD_TOO_LARGE, "too many headers")
-    # The headers are measured only if enough bytes were read to exceed the limit,
-    # which is rare.
-    if read_bytes > limits.head_bytes < collected.estimate_headers_bytes():
-        raise MalformedMessageError(Reason.HEAD_TOO_LARGE, "the head is too large")
-
-
 def _find_authorization(lines: list[bytes]) -> bytes:
     for line in lines:
         if line.startswith(_AUTHORIZATION_PREFIX):
--- a/monsoontray/forwarding/replay.py
+++ b/monsoontray/forwarding/replay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+MAX_PARTS = 256  # small parts take more memory than their bytes
+
 
 class ReplayBuffer:
     """Body received so far; discarded if it exceeds a limit once it is sent."""
@@ -22,6 +24,8 @@
             return
         self.parts.append(part)
         self.size += len(part)
+        if len(self.parts) >= MAX_PARTS:
+            self.parts = [b"".join(self.parts)]
         if is_sent and self.size > limit:
             self.is_complete = False
             self.parts.clear()
--- a/monsoontray/forwarding/report.py
+++ b/monsoontray/forwarding/report.py
@@ -25,6 +25,8 @@
 #: many without any trouble.
 ROUTINE_LINES_PER_S = 10
 ROUTINE_LINE_BURST = 50
+CROWD_LINES_PER_S = 0.2  # about connections that were given up
+CROWD_LINE_BURST = 1
 MAX_TARGET_LENGTH = 200
 
 
@@ -53,7 +55,14 @@
 class CallReporter:
     """Counter of call events, with a rate-limited log."""
 
-    __slots__ = ("_forwarder", "_limit", "_metrics", "_routine_limit", "_suppressed")
+    __slots__ = (
+        "_crowd_limit",
+        "_forwarder",
+        "_limit",
+        "_metrics",
+        "_routine_limit",
+        "_suppressed",
+    )
 
     def __init__(self, forwarder: Forwarder) -> None:
         self._forwarder = forwarder
@@ -61,6 +70,7 @@
         now = forwarder.now
         self._limit = LineLimit(LINES_PER_S, LINE_BURST, now)
         self._routine_limit = LineLimit(ROUTINE_LINES_PER_S, ROUTINE_LINE_BURST, now)
+        self._crowd_limit = LineLimit(CROWD_LINES_PER_S, CROWD_LINE_BURST, now)
         self._suppressed = 0
 
     def record_refused_call(self, refusal: Refusal, call: Call) -> None:
@@ -95,6 +105,21 @@
         if self._consume_line():
             self._write("connection refused", reason=refusal.reason.value, why=detail)
 
+    def record_given_up(
+        self, cause: str, count: int, held: int, budget: int, connections: int
+    ) -> None:
+        """Count connections that gave way to others, and log it once in a while."""
+        self._metrics.count_given_up(cause, count)
+        if self._crowd_limit.consume(self._forwarder.now):
+            self._write(
+                "connections given up",
+                cause=cause,
+                count=count,
+                held_kb=held // 1024,
+                budget_kb=budget // 1024,
+                connections=connections,
+            )
+
     def record_retry(self, call: Call, retry: Retry) -> None:
         """Count and log that a call is sent to another server."""
         self._metrics.count_retry(retry.reason.value)
--- a/monsoontray/forwarding/sending.py
+++ b/monsoontray/forwarding/sending.py
@@ -18,6 +18,7 @@
     encode_header,
     encode_request,
 )
+from monsoontray.forwarding.holdings import PART_COST
 from monsoontray.forwarding.replay import ReplayBuffer
 from monsoontray.forwarding.routes import TIMEOUT_HEADER, EntryRoute, GuardRoute, Hop
 
@@ -152,6 +153,11 @@
         """Return how much of the body is buffered."""
         return self._body.size
 
+    def measure(self) -> int:
+        """Return the memory that is held of the request's body, in bytes."""
+        unsent_bytes = 0 if self.upstream is None else self.upstream.unsent_bytes
+        return self._body.size + PART_COST * len(self._body.parts) + unsent_bytes
+
     def send_body(self, part: bytes) -> None:
         """Buffer a part of the request body, and send it if the hop is ready."""
         limit = self._forwarder.limits.replay_buffer_bytes
--- a/monsoontray/forwarding/sides.py
+++ b/monsoontray/forwarding/sides.py
@@ -17,6 +17,7 @@
 )
 from monsoontray.decoding.documents import decode_digits
 from monsoontray.decoding.values import MAX_INT64
+from monsoontray.forwarding.framing import HeadLimits
 from monsoontray.forwarding.heads import (
     NO_EXTRA_HEADERS,
     ExtraHeaders,
@@ -47,6 +48,9 @@
     from monsoontray.forwarding.limits import Limits
 
 MAX_TIMEOUT_MS = 3_600_000
+MIN_LINE_BYTES = 4  # of a header line with a name of one byte
+#: Headers that a node adds to a request that it sends to another one.
+NODE_HEADER_COUNT, NODE_HEADER_BYTES = 32, 4_096
 MAX_PRIORITY = 1_000_000
 _BEARER = b"Bearer "
 
@@ -186,6 +190,21 @@
     )
 
 
+@singledispatch
+def find_head_limits(side: Any, limits: HeadLimits) -> HeadLimits:
+    """Return the limits of the heads that arrive on a side."""
+    return limits
+
+
+@find_head_limits.register(GuardSide)
+def _(side: GuardSide, limits: HeadLimits) -> HeadLimits:
+    # Another node writes a space behind each colon and adds headers of its own.
+    return HeadLimits(
+        limits.header_count + NODE_HEADER_COUNT,
+        limits.head_bytes + limits.head_bytes // MIN_LINE_BYTES + NODE_HEADER_BYTES,
+    )
+
+
 @singledispatch
 def find_caller(side: Any, head: RequestHead, route: EntryRoute | GuardRoute) -> bytes:
     """Return who made a call: the customer or the service that it came from."""
--- a/monsoontray/forwarding/transaction.py
+++ b/monsoontray/forwarding/transaction.py
@@ -33,11 +33,11 @@
     """
 
     __slots__ = (
-        "_buffered",
-        "_buffered_bytes",
         "_caller",
         "_can_drain_body",
         "_chunked",
+        "buffered",
+        "buffered_bytes",
         "call",
         "closes_connection",
         "done",
@@ -55,8 +55,8 @@
         self.paused = False  # the call accepts no more of the request body for now
         self.was_cut = False
         self._chunked = False
-        self._buffered: list[bytes] = []  # output that must wait
-        self._buffered_bytes = 0
+        self.buffered: list[bytes] = []  # output that must wait
+        self.buffered_bytes = 0
         self._can_drain_body = head is not None and (
             head.framing is not Framing.CHUNKED
             and head.length <= MAX_DRAINED_BODY_BYTES
@@ -73,7 +73,7 @@
         """Return the number of bytes of the response that are not sent yet."""
         if self._caller.is_current(self):
             return self._caller.unsent_bytes
-        return self._buffered_bytes
+        return self.buffered_bytes
 
     def pause_reading(self) -> None:
         """Pause reading from the caller."""
@@ -129,8 +129,8 @@
 
     def pop_buffered(self) -> list[bytes]:
         """Return and clear the buffered output."""
-        parts, self._buffered = self._buffered, []
-        self._buffered_bytes = 0
+        parts, self.buffered = self.buffered, []
+        self.buffered_bytes = 0
         return parts
 
     def _must_close(self) -> bool:
@@ -150,5 +150,5 @@
         if self._caller.is_current(self):
             self._caller.write(data)
         else:
-            self._buffered.append(data)
-            self._buffered_bytes += len(data)
+            self.buffered.append(data)
+            self.buffered_bytes += len(data)
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -109,6 +109,7 @@
             # the start of a head must not stay in the parser.
             self.close()
             return
+        self.forwarder.account.add(len(data))
         events = self._parser.feed(data)
         if END_OF_MESSAGE in events and (
             events[-1] is not END_OF_MESSAGE or self._parser.head_in_progress
@@ -145,6 +146,7 @@
             return
         self._cancel_connect_timer()
         super().close()
+        self._parser.close()
         self.forwarder.pool.remove(self)
 
     def finish_response(self) -> None:
@@ -241,13 +243,20 @@
     is sent while the other side closes, its outcome is unknown.
     """
 
-    __slots__ = ("_forwarder", "_idle", "_idle_timeout_s", "_sweep_scheduled")
+    __slots__ = (
+        "_forwarder",
+        "_idle",
+        "_idle_timeout_s",
+        "_sweep_scheduled",
+        "open_count",
+    )
 
     def __init__(self, forwarder: Forwarder) -> None:
         self._forwarder = forwarder
         self._idle: dict[Address, list[UpstreamConnection]] = {}
         self._idle_timeout_s = forwarder.limits.idle_timeout_s * IDLE_TIMEOUT_FRACTION
         self._sweep_scheduled = False
+        self.open_count = 0  # connections, idle or in use
 
     def acquire(self, address: Address) -> UpstreamConnection:
         """Return an idle connection, or a new one if none is idle.
@@ -286,6 +295,7 @@
 
     def remove(self, connection: UpstreamConnection) -> None:
         """Remove a closed connection."""
+        self.open_count -= 1
         idle = self._idle.get(connection.address)
         if idle is not None and connection in idle:
             idle.remove(connection)
@@ -329,6 +339,7 @@
         except OSError:
             sock.close()
             raise
+        self.open_count += 1
         return UpstreamConnection(sock, self._forwarder, address, on_connected)
 
 
--- a/monsoontray/metrics/service.py
+++ b/monsoontray/metrics/service.py
@@ -67,6 +67,12 @@
             "Calls whose caller had gone",
             registry=self.registry,
         )
+        self._given_up = Counter(
+            "monsoontray_given_up_connections",
+            "Connections of callers that gave way to others, by what was short",
+            ("cause",),
+            registry=self.registry,
+        )
         self._refused_versions = Counter(
             "monsoontray_versions_refused",
             "Versions that were heard of but not taken",
@@ -142,6 +148,10 @@
         """Count a call whose caller disconnected."""
         self._cancelled_calls.inc()
 
+    def count_given_up(self, cause: str, count: int) -> None:
+        """Count connections that were given up."""
+        self._given_up.labels(cause).inc(count)
+
     def count_refused_version(self) -> None:
         """Count a version that was not accepted."""
         self._refused_versions.inc()
--- a/monsoontray/settings/declarations.py
+++ b/monsoontray/settings/declarations.py
@@ -261,13 +261,32 @@
         minimum=1,
         maximum=60_000,
     ),
+    Declaration(
+        "memory_mb",
+        int,
+        "Memory that the VM has for this process; connections that hold most and move "
+        "least give way when 40 % of it are held for callers.",
+        default=512,
+        unit="MB",
+        minimum=64,
+        maximum=1_048_576,
+    ),
+    Declaration(
+        "max_descriptors",
+        int,
+        "File descriptors that this process may have open, a tenth of which is kept "
+        "for other uses than connections; 0: the limit of the system.",
+        default=0,
+        minimum=0,
+        maximum=1_048_576,
+    ),
     Declaration(
         "max_header_count",
         int,
         "Maximum number of header fields in a message.",
-        default=100,
+        default=8_192,
         minimum=1,
-        maximum=1_000,
+        maximum=65_536,
     ),
     Declaration(
         "max_head_bytes",
--- a/tests/test_forwarding/test_caller.py
+++ b/tests/test_forwarding/test_caller.py
@@ -7,8 +7,11 @@
 
 import pytest
 
+from monsoontray.forwarding.account import Account
 from monsoontray.forwarding.caller import LINGER_S, CallerConnection
+from monsoontray.forwarding.framing import HEADER_COST
 from monsoontray.forwarding.heads import NO_EXTRA_HEADERS, Framing, ResponseHead
+from monsoontray.forwarding.holdings import find_holding
 from monsoontray.forwarding.parsing import HeadLimits
 from monsoontray.kernel.sockets import READABLE, WRITABLE
 from monsoontray.kernel.timers import Timers
@@ -38,8 +41,12 @@
         self.timers = Timers()
         self.dirty_connections = []
         self.draining = False
+        self.account = SimpleNamespace(add=lambda size: None)
         self.limits = SimpleNamespace(
-            head=HeadLimits(100, 16_384), idle_timeout_s=15.0, head_timeout_s=3.0
+            head=HeadLimits(100, 16_384),
+            idle_timeout_s=15.0,
+            head_timeout_s=3.0,
+            stream_buffer_bytes=65_536,
         )
         self.transactions = []  # of the requests that were started
 
@@ -197,3 +204,42 @@
         connection.handle_events(WRITABLE)
         forwarder.timers.run_due(forwarder.now)
     assert received > 3_000_000
+
+
+class TaskWithCallers(SimpleNamespace):
+    """What the account asks of the task that owns the connections."""
+
+    def __init__(self, callers):
+        super().__init__(now=10.0, callers=callers, lines=[])
+        self.report = SimpleNamespace(
+            record_given_up=lambda *line: self.lines.append(line)
+        )
+
+    def record(self, *line):
+        self.lines.append(line)
+
+    def count_connections(self):
+        return sum(not caller.closed for caller in self.callers)
+
+    def find_holdings(self):
+        return [find_holding(each) for each in self.callers if not each.closed]
+
+
+def test_part_of_a_head_is_refused_as_not_run_when_too_much_is_held(forwarder, sockets):
+    connection, client = sockets
+    forwarder.report = SimpleNamespace(record_refused_connection=lambda *line: None)
+    task = TaskWithCallers([connection])
+    account = Account(task, 1, 0)
+    client.sendall(REQUEST[:-2] % 1 + b"a:\r\n" * 40)
+    connection.handle_events(READABLE)
+    assert find_holding(connection).cost > 40 * HEADER_COST
+    account.relieve()
+    assert not task.lines
+    account._budget = 0
+    account.relieve()
+    assert [line[:2] for line in task.lines] == [("memory", 1)]
+    forwarder.flush()
+    received = client.recv(65_536)
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert b'"refused":"too-much-held","ran":"not-run"' in received
+    assert find_holding(connection).cost == 0
--- a/tests/test_platform/test_mesh_crowd.py
+++ b/tests/test_platform/test_mesh_crowd.py
@@ -12,14 +12,11 @@
 from bench.caller import CutResponseError, Router
 from bench.mesh import HOST, build_mesh_request
 from bench.processes import read_peak_rss_mb
-from monsoontray.settings.declarations import DECLARATIONS
 from tests.meshes import call, start_mesh
 
 #: Limits of the machine, in the settings that the product has for them.
 MEMORY_MB = 80
 MAX_DESCRIPTORS = 160
-LIMITS = {"memory_mb": MEMORY_MB, "max_descriptors": MAX_DESCRIPTORS}
-DECLARED = {each.name for each in DECLARATIONS}
 #: Connections of a crowd, and of one that takes all descriptors.
 CROWD, LARGE_CROWD = 300, 400
 CONNECT_TIMEOUT_S = 0.5
@@ -91,8 +88,8 @@
         yield
 
 
-def start_limited_node(mesh):
-    start_mesh(mesh, 1, **{k: v for k, v in LIMITS.items() if k in DECLARED})
+def start_limited_node(mesh, **limits):
+    start_mesh(mesh, 1, memory_mb=MEMORY_MB, **limits)
     (node,) = mesh.nodes
     assert call(node, "/read/1", "before").status == 200
     return node
@@ -135,7 +132,7 @@
 
 
 def test_crowd_of_open_connections_leaves_descriptors_for_ordinary_callers(mesh):
-    node = start_limited_node(mesh)
+    node = start_limited_node(mesh, max_descriptors=MAX_DESCRIPTORS)
     pid = node.handle.process.pid
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, MAX_DESCRIPTORS))
     with gather(node.handle.entry_address, LARGE_CROWD, START):
