Let calls wait near instead of at full servers of other zones

A load report is out of date after 0.5 s, and a busy server then seems idle to the nodes of other zones: calls that found no free slot nearby were sent there to wait.

--- a/monsoontray/forwarding/attempts.py
+++ b/monsoontray/forwarding/attempts.py
@@ -78,15 +78,16 @@
     attempts = call.attempts
     tried = [*attempts.tried, call.server] if call.server else attempts.tried
     candidates = call.forwarder.find_candidates(route.service, route.name, bool(tried))
+    forwarder = call.forwarder
+    wasted = find_wasted_offers(
+        candidates,
+        forwarder.location,
+        forwarder.loads,
+        forwarder.now,
+        forwarder.limits.full_memory_s,
+    )
     if attempts.is_no_wait():
         excluded = {*tried, *attempts.busy}
-        wasted = find_wasted_offers(
-            candidates,
-            call.forwarder.location,
-            call.forwarder.loads,
-            call.forwarder.now,
-            call.forwarder.limits.full_memory_s,
-        )
         endpoint = _choose(candidates, excluded | wasted, route, call)
         if endpoint is not None and not _should_wait_instead(endpoint, call):
             untried_servers = {each.server for each in candidates} - excluded
@@ -94,7 +95,9 @@
             return Target(
                 endpoint, may_wait=len(untried_servers) + len(attempts.busy) == 1
             )
-    endpoint = _choose(candidates, tried, route, call)
+    endpoint = _choose(candidates, wasted.union(tried), route, call)
+    if endpoint is None and wasted:
+        endpoint = _choose(candidates, tried, route, call)
     return None if endpoint is None else Target(endpoint, may_wait=True)
 
 
--- a/tests/test_decisions/test_balance.py
+++ b/tests/test_decisions/test_balance.py
@@ -16,6 +16,7 @@
 import pytest
 
 from monsoontray.decisions.guard import Granted, GuardState, SlotRequest
+from monsoontray.decisions.offering import find_wasted_offers
 from monsoontray.decisions.outcomes import Reason, Refusal
 from monsoontray.decisions.retries import MAX_NO_WAIT_OFFERS, MAX_OFFERS
 from monsoontray.decisions.servers import (
@@ -108,6 +109,7 @@
         self.failed = 0
         self.late = 0
         self.runs = Counter()  # by route and server
+        self.full_memory_s = 0.0
 
     def add_server(self, name: str, zone: str) -> None:
         slots = self.fleet.slots
@@ -145,10 +147,22 @@
         self.offers += self.now > self.fleet.warm_up_s
         zones = list(self.fleet.servers_by_zone)
         zone = zones[call.entry % len(zones)]
+        location = Location(f"entry-{call.entry}", "r", zone)
+        wasted = find_wasted_offers(
+            self.endpoints,
+            location,
+            self.loads[call.entry],
+            self.now,
+            self.full_memory_s,
+        )
+        if len(wasted | excluded) < len(self.endpoints):
+            excluded |= wasted
+        else:
+            is_no_wait = False
         endpoint = choose_server(
             self.endpoints,
             "",
-            Location(f"entry-{call.entry}", "r", zone),
+            location,
             excluded,
             self.loads[call.entry],
             self.now,
