--- a/tests/test_decisions/chain_model.py
+++ b/tests/test_decisions/chain_model.py
@@ -54,7 +54,7 @@
     kind.name: kind
     for kind in (
         Kind(
-            "lookup", "portal", 150, 0.22, 0.3, 0.6, 2, 4, 1, True, "check", 0.7, True
+            "lookup", "portal", 150, 0.22, 0.3, 0.6, 2, 4, 1, inner="check", together=1
         ),
         Kind("request", "desk", 52, 0.29, 0.8, 2, 3, 6, 2, False, "read"),
         Kind("post", "ledger", 42, 0.15, 0.5, 0.6, 2, 4, 1, False),
@@ -105,9 +105,9 @@
 class ChainModel:
     """Discrete-event simulation of entry nodes, guards and servers."""
 
-    def __init__(self, seed: int, bursts=(), leaving=(), load: float = 1.0) -> None:
+    def __init__(self, seed: int, bursts=(), leaving=()) -> None:
         self.random = Random(seed)
-        self.bursts, self.load = bursts, load
+        self.bursts = bursts
         self.events: list = []
         self.sequence = count()
         self.now = 0.0
@@ -148,7 +148,7 @@
         for burst in self.bursts:
             if burst.start <= self.now < burst.end and kind.name in burst.kinds:
                 factor = burst.factor
-        gap_s = self.random.expovariate(kind.per_s * self.load * factor)
+        gap_s = self.random.expovariate(kind.per_s * factor)
         self.schedule(self.now + gap_s, partial(self.arrive, kind))
         caller = Caller(
             kind,
@@ -164,25 +164,10 @@
     def attempt(self, caller: Caller) -> None:
         kind = caller.kind
         deadline = min(caller.deadline, self.now + kind.timeout_s)
-        call = ModelCall(caller, deadline, self.find_objective(caller))
+        call = ModelCall(caller, deadline, caller.started_at + kind.aim_s)
         self.schedule(deadline, partial(self.expire, call))
         self.offer(call)
 
-    def find_objective(self, caller: Caller) -> float:
-        return caller.started_at + caller.kind.aim_s
-
-    def build_request(self, call: ModelCall, may_wait: bool) -> SlotRequest:
-        kind = call.caller.kind
-        return SlotRequest(
-            call.deadline,
-            kind.priority,
-            call.objective,
-            kind.name,
-            may_wait,
-            kind.idempotent,
-            nested=kind.per_s == 0,
-        )
-
     def offer(self, call: ModelCall) -> None:
         if call.ended:
             return
@@ -202,9 +187,17 @@
         call.server = found.server
         view.begin_call(found.server)
         guard = self.guards[found.server]
-        outcome = guard.request_slot(
-            call, self.build_request(call, not no_wait), self.now
+        kind = call.caller.kind
+        request = SlotRequest(
+            call.deadline,
+            kind.priority,
+            call.objective,
+            kind.name,
+            not no_wait,
+            kind.idempotent,
+            nested=kind.per_s == 0,
         )
+        outcome = guard.request_slot(call, request, self.now)
         if isinstance(outcome, Granted):
             self.begin(call)
         elif not isinstance(outcome, Queued):
@@ -343,13 +336,12 @@
         self.schedule(self.now + RECHECK_S, self.recheck)
 
     def leave(self, server: str) -> None:
-        service = server.split("-")[0]
-        self.guards[server].mark_leaving()
-        self.endpoints[service] = [
-            e for e in self.endpoints[service] if e.server != server
-        ]
-        for call in list(self.guards[server].waiting):
-            self.guards[server].remove_waiting(call)
+        guard = self.guards[server]
+        guard.mark_leaving()
+        servers = self.endpoints[server.split("-")[0]]
+        servers[:] = [each for each in servers if each.server != server]
+        for call in list(guard.waiting):
+            guard.remove_waiting(call)
             self.refuse(call, Refusal(Reason.SERVER_LEAVING, Ran.NOT_RUN))
 
     def _add_server(self, name: str, service: str, speed: float) -> None:
