--- a/tests/test_decisions/chain_model.py
+++ b/tests/test_decisions/chain_model.py
@@ -28,6 +28,7 @@
 RECHECK_S = 0.1
 MIN_RETRY_S = 0.05
 TRANSIT_S = 0.001
+LOCATION = Location("n", "r", "z")
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,9 +54,7 @@
 KINDS = {
     kind.name: kind
     for kind in (
-        Kind(
-            "lookup", "portal", 150, 0.22, 0.3, 0.6, 2, 4, 1, inner="check", together=1
-        ),
+        Kind("lookup", "portal", 150, 0.22, 0.3, 0.6, 2, 4, 1, True, "check", 0.7, 1),
         Kind("request", "desk", 52, 0.29, 0.8, 2, 3, 6, 2, False, "read"),
         Kind("post", "ledger", 42, 0.15, 0.5, 0.6, 2, 4, 1, False),
         Kind("schedule", "ledger", 47, 0.088, 0.8, 0.4, 1.2, 2.5, 0),
@@ -115,7 +114,6 @@
         self.speeds: dict[str, float] = {}
         self.endpoints: dict[str, list[Endpoint]] = defaultdict(list)
         self.views = [LoadView() for _ in range(NODES)]
-        self.location = Location("n", "r", "z")
         self.asked = defaultdict(float)  # credit asked by second of the first attempt
         self.earned = defaultdict(float)
         self.counts = defaultdict(lambda: defaultdict(int))
@@ -208,7 +206,7 @@
         return choose_server(
             self.endpoints[kind.service],
             "",
-            self.location,
+            LOCATION,
             excluded,
             self.views[call.caller.node],
             self.now,
@@ -226,10 +224,10 @@
             self.end(call, refusal)
 
     def respond(self, call: ModelCall) -> None:
-        view, guard = self.views[call.caller.node], self.guards[call.server]
+        view, name = self.views[call.caller.node], call.caller.kind.name
         view.end_call(call.server)
-        report = guard.report_load(self.now, call.caller.kind.name)
-        view.record_response(call.server, report, self.now, call.caller.kind.name)
+        report = self.guards[call.server].report_load(self.now, name)
+        view.record_response(call.server, report, self.now, name)
 
     def begin(self, call: ModelCall) -> None:
         kind, guard = call.caller.kind, self.guards[call.server]
