--- a/tests/test_forwarding/test_call_model.py
+++ b/tests/test_forwarding/test_call_model.py
@@ -53,6 +53,7 @@
 from monsoontray.forwarding.routes import EntryRoute, GuardRoute
 from monsoontray.forwarding.sending import RequestSender
 from monsoontray.forwarding.sides import GuardSide, MeshEntrySide
+from monsoontray.forwarding.usage import UsageRecorder
 from monsoontray.kernel.timers import Timers
 from monsoontray.platform.headers import PLATFORM_PROFILE
 
@@ -149,6 +150,7 @@
             else MeshEntrySide(PLATFORM_PROFILE, "one")
         )
         self.containment = RequestContainment(self)
+        self.usage = UsageRecorder(self, 0.0)
         self.report = SimpleNamespace(
             record_refused_call=lambda *a: None, record_retry=lambda *a: None,
             record_cut_response=lambda *a: None, record_cancelled_call=lambda *a: None,
--- a/tests/test_forwarding/test_guards.py
+++ b/tests/test_forwarding/test_guards.py
@@ -132,7 +132,9 @@
 # A node that was held up between two events counted requests to a cold server when the
 # first event came, and sent them later, beside as many others.
 def test_request_is_counted_when_it_is_sent_not_when_its_event_came():
-    forwarder = SimpleNamespace(now=1.0, clock=ManualClock(1.25))
+    counted = []
+    usage = SimpleNamespace(count=counted.append)
+    forwarder = SimpleNamespace(now=1.0, clock=ManualClock(1.25), usage=usage)
     bounds = SimpleNamespace(cold_factor=1.0, cold_slack=0.0)
     guards = LocalGuards(forwarder, SimpleNamespace(bounds=bounds))
     cold = replace(RECORD, slots=9, cold_until=9.0, cold_per_s=2.0)
@@ -144,3 +146,4 @@
         guard.record_unsent(name)
     assert guard.request_slot("c", SlotRequest(9.0, 0), 2.2) != Granted()
     assert guard.request_slot("c", SlotRequest(9.0, 0), 2.31) == Granted()
+    assert len(counted) == 2
