Count what comes in with less work for ordinary calls

The account measured the received requests of a connection before and after each parse, which cost an ordinary call some 20 to 30 us at the median (added p50 of one node, old and new alternately, three pairs beside other load: 0.164, 0.164 and 0.170 ms before the account, 0.192, 0.185 and 0.271 with it). It now counts an upper bound of the memory by the bytes of a read, and small reads are parsed without being copied.

--- a/monsoontray/forwarding/account.py
+++ b/monsoontray/forwarding/account.py
@@ -28,7 +28,7 @@
 class Account:
     """What all connections hold together, measured again once enough has come in."""
 
-    __slots__ = ("_budget", "_connection_limit", "_forwarder", "_room")
+    __slots__ = ("_budget", "_connection_limit", "_forwarder", "room")
 
     def __init__(self, forwarder: Forwarder, memory_mb: int, descriptors: int) -> None:
         self._forwarder = forwarder
@@ -37,21 +37,13 @@
             min(descriptors, system_limit) if descriptors else system_limit
         )
         self._budget = compute_budget(memory_mb)
-        self._room = self._budget
+        #: Bytes that may come in until what is held is measured again.
+        self.room = self._budget
 
     def update_budget(self, memory_mb: int) -> None:
         """Apply a changed setting; it takes effect when memory is measured next."""
         self._budget = compute_budget(memory_mb)
-        self._room = min(self._room, self._budget)
-
-    def add(self, size: int) -> None:
-        """Count bytes that may have come to be held since the last measurement."""
-        self._room -= size
-
-    @property
-    def is_room_used(self) -> bool:
-        """Return whether what is held must be measured again."""
-        return self._room < 0
+        self.room = min(self.room, self._budget)
 
     def relieve(self) -> None:
         """Measure what is held, and give up connections if it exceeds the budget."""
@@ -63,11 +55,11 @@
         chosen = choose_for_memory(holdings, budget, forwarder.now)
         self._give_up(chosen, MEMORY, held)
         held -= sum(each.cost for each in chosen)
-        self._room = compute_room(self._budget, held)
+        self.room = compute_room(self._budget, held)
 
     def admit_connection(self) -> bool:
         """Return whether a new connection may stay; close others for it if needed."""
-        self.add(CONNECTION_COST)
+        self.room -= CONNECTION_COST
         forwarder = self._forwarder
         if forwarder.count_connections() <= self._connection_limit:
             return True
--- a/monsoontray/forwarding/caller.py
+++ b/monsoontray/forwarding/caller.py
@@ -66,8 +66,10 @@
         """Parse received bytes and handle the requests in them."""
         if self.is_lingering:
             return
-        self.forwarder.account.add(len(data))
-        self.intake.add(data)
+        intake = self.intake
+        was_in_progress = intake.head_in_progress
+        self.forwarder.account.room -= intake.add(data)
+        self._start_timeout(was_in_progress)
         self._process_pending()
 
     def on_connection_lost(self) -> None:
@@ -212,15 +214,17 @@
         """Parse received bytes; return whether there were any."""
         intake = self.intake
         was_in_progress = intake.head_in_progress
-        cost = intake.measure()
         if not intake.parse():
             return False
-        self.forwarder.account.add(max(0, intake.measure() - cost))
-        if intake.head_in_progress:
+        self._start_timeout(was_in_progress)
+        return True
+
+    def _start_timeout(self, was_in_progress: bool) -> None:
+        """Start the timeout of a head that begins, or of an idle connection."""
+        if self.intake.head_in_progress:
             self._start_head_timeout(was_in_progress)
         else:
             self._deadline = self.forwarder.now + self.forwarder.limits.idle_timeout_s
-        return True
 
     def _can_process(self, event: RequestEvent) -> bool:
         """Return whether an event may be handled before earlier calls have ended.
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -163,7 +163,7 @@
 
     def finish_event(self) -> None:
         """Flush the connections that were written to during the event."""
-        if self.account.is_room_used:
+        if self.account.room < 0:
             self.account.relieve()
         while self.dirty_connections:
             dirty, self.dirty_connections = self.dirty_connections, []
@@ -206,7 +206,7 @@
             return
         call = Call(self, transaction, head, route, call_id)
         self._calls.add(call)
-        self.account.add(CALL_COST)
+        self.account.room -= CALL_COST
         transaction.call = call
         call.start()
 
--- a/monsoontray/forwarding/framing.py
+++ b/monsoontray/forwarding/framing.py
@@ -59,7 +59,8 @@
         "_forwarded",
         "_header_bytes",
         "_header_count",
-        "_limits",
+        "_max_bytes",
+        "_max_count",
         "_parser",
         "_stripped",
         "hop_by_hop",
@@ -68,7 +69,8 @@
     )
 
     def __init__(self, limits: HeadLimits, extra_headers: ExtraHeaders) -> None:
-        self._limits = limits
+        self._max_count = limits.header_count
+        self._max_bytes = limits.head_bytes
         self._parser: Any = None
         self._forwarded = extra_headers.forwarded
         self._stripped = extra_headers.stripped
@@ -106,13 +108,10 @@
 
         Raise MalformedMessageError if the limits are exceeded.
         """
-        self._header_count += 1
-        self._header_bytes += len(name) + len(value) + MIN_HEADER_BYTES
-        limits = self._limits
-        if (
-            self._header_count > limits.header_count
-            or self._header_bytes > limits.head_bytes
-        ):
+        count = self._header_count = self._header_count + 1
+        size = self._header_bytes + len(name) + len(value) + MIN_HEADER_BYTES
+        self._header_bytes = size
+        if count > self._max_count or size > self._max_bytes:
             raise MalformedMessageError(
                 Reason.HEAD_TOO_LARGE, "too many or too large headers"
             )
--- a/monsoontray/forwarding/intake.py
+++ b/monsoontray/forwarding/intake.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from monsoontray.forwarding.framing import HEADER_COST
 from monsoontray.forwarding.heads import RequestHead
 
 if TYPE_CHECKING:
@@ -15,6 +16,8 @@
 SLICE_BYTES = 4_096
 #: Memory that an event takes which waits, beside the headers and the body in it.
 EVENT_COST = 512
+#: Most memory that a byte of a head takes: the shortest line has four.
+MAX_EXPANSION = HEADER_COST // 4
 
 
 class Intake:
@@ -31,24 +34,33 @@
     @property
     def is_empty(self) -> bool:
         """Return whether everything that was received has been handled."""
-        return not self.events and not self._count_unparsed()
+        return not self.events and not self._data
 
     @property
     def head_in_progress(self) -> bool:
         """Return whether a part of a head was parsed, and not all of it."""
         return self._parser is not None and self._parser.head_in_progress
 
-    def add(self, data: bytes) -> None:
-        """Add received bytes."""
-        if self._count_unparsed():
-            data = self._data[self._begin :] + data
-        self._data, self._begin = data, 0
+    def add(self, data: bytes) -> int:
+        """Add received bytes; return how much memory they may take."""
+        parser = self._parser
+        if parser is None:
+            return 0
+        size = len(data)
+        is_body = not self._data and parser.is_inside_body(size)
+        if self._data:
+            self._data, self._begin = self._data[self._begin :] + data, 0
+        elif is_body or size <= SLICE_BYTES:
+            self.events.extend(parser.feed(data))
+        else:
+            self._data = data
+        return size if is_body else size * MAX_EXPANSION
 
     def parse(self) -> bool:
         """Parse the next bytes; return whether there were any."""
-        size = self._count_unparsed()
-        if not size or self._parser is None:
+        if not self._data or self._parser is None:
             return False
+        size = len(self._data) - self._begin
         if size > SLICE_BYTES and not self._parser.is_inside_body(size):
             size = SLICE_BYTES
         begin = self._begin
@@ -76,6 +88,3 @@
             elif isinstance(event, bytes):
                 cost += len(event)
         return cost if self._parser is None else cost + self._parser.headers_cost
-
-    def _count_unparsed(self) -> int:
-        return len(self._data) - self._begin
--- a/monsoontray/forwarding/parsing.py
+++ b/monsoontray/forwarding/parsing.py
@@ -85,7 +85,7 @@
         if malformed is not None:
             events.append(malformed)
         self._bytes_since_event = 0 if events else self._bytes_since_event + len(data)
-        if self._bytes_since_event > self._limits.head_bytes:
+        if self._bytes_since_event > self._max_bytes:
             detail = "the head, trailers or chunk extensions are too large"
             events.append(Malformed(Reason.HEAD_TOO_LARGE, detail))
         return events
@@ -99,7 +99,7 @@
     def on_url(self, part: bytes) -> None:
         """Collect the request target."""
         self._target += part
-        if len(self._target) > self._limits.head_bytes:
+        if len(self._target) > self._max_bytes:
             raise MalformedMessageError(Reason.HEAD_TOO_LARGE, "the target is too long")
 
     def on_headers_complete(self) -> None:
@@ -206,7 +206,7 @@
         if malformed is not None:
             events.append(malformed)
         self._bytes_since_event = 0 if events else self._bytes_since_event + len(data)
-        if self._bytes_since_event > self._limits.head_bytes:
+        if self._bytes_since_event > self._max_bytes:
             events.append(Malformed(Reason.BAD_RESPONSE, "the head is too large"))
         return events
 
--- a/monsoontray/forwarding/upstream.py
+++ b/monsoontray/forwarding/upstream.py
@@ -109,7 +109,7 @@
             # the start of a head must not stay in the parser.
             self.close()
             return
-        self.forwarder.account.add(len(data))
+        self.forwarder.account.room -= len(data)
         events = self._parser.feed(data)
         if END_OF_MESSAGE in events and (
             events[-1] is not END_OF_MESSAGE or self._parser.head_in_progress
--- a/tests/test_forwarding/test_caller.py
+++ b/tests/test_forwarding/test_caller.py
@@ -41,7 +41,7 @@
         self.timers = Timers()
         self.dirty_connections = []
         self.draining = False
-        self.account = SimpleNamespace(add=lambda size: None)
+        self.account = SimpleNamespace(room=0)
         self.limits = SimpleNamespace(
             head=HeadLimits(100, 16_384),
             idle_timeout_s=15.0,
--- a/tests/test_forwarding/test_upstream.py
+++ b/tests/test_forwarding/test_upstream.py
@@ -27,7 +27,7 @@
         self.now = 0.0
         self.timers = Timers()
         self.dirty_connections = []
-        self.account = SimpleNamespace(add=lambda size: None)
+        self.account = SimpleNamespace(room=0)
         self.limits = SimpleNamespace(
             head=HeadLimits(100, 16_384), connect_timeout_s=1.0
         )
