Pause a listening socket that can't accept for want of descriptors

Cause: a connection that can't be accepted leaves the socket readable, so the task that waited for it ran without sleep until descriptors were free. Change: one class accepts connections for both servers of a node; it waits a tenth of a second after such a failure. The test of stops takes the size of a batch from its new place.

--- a/monsoontray/http/server.py
+++ b/monsoontray/http/server.py
@@ -16,7 +16,8 @@
     ServerResponse,
 )
 from monsoontray.http.workers import Job, WorkerPool
-from monsoontray.kernel.sockets import READABLE, SocketTask
+from monsoontray.kernel.listening import ListeningSocket
+from monsoontray.kernel.sockets import SocketTask
 from monsoontray.logs import logger
 
 if TYPE_CHECKING:
@@ -24,12 +25,7 @@
     from monsoontray.settings.settings import Address
 
 SHUTDOWN_TIMEOUT_S = 0.2  # for requests in progress when the node stops
-#: Connections that wait to be accepted, and open ones. All nodes of a zone poll one
-#: reader. Beyond the first limit the system drops the packet that opens a connection,
-#: and the caller sends it again only after seconds.
-MAX_WAITING_CONNECTIONS = 1_024
-MAX_CONNECTIONS = 2_048
-ACCEPT_BATCH = 64  # connections accepted per event, at most
+MAX_CONNECTIONS = 2_048  # open at the same time; all nodes of a zone poll one reader
 
 Handler = Callable[[ServerRequest], ServerResponse]
 
@@ -133,37 +129,26 @@
 class EndpointListener:
     """Listening socket of the server."""
 
-    __slots__ = ("_pool", "_server", "_sock", "address")
+    __slots__ = ("_listening", "_pool", "_server", "address")
 
     def __init__(
         self, address: Address, pool: WorkerPool, server: EndpointServer
     ) -> None:
         self._pool = pool
         self._server = server
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.setblocking(False)
-        self._sock.bind((address.host, address.port))
-        self._sock.listen(MAX_WAITING_CONNECTIONS)
-        host, port = self._sock.getsockname()
-        self.address = type(address)(host, port)
-        server.add_socket(self._sock.fileno(), self, READABLE)
-
-    def handle_events(self, events: int) -> None:
-        """Accept the waiting connections."""
-        for _ in range(ACCEPT_BATCH):
-            try:
-                sock, _address = self._sock.accept()
-            except OSError:
-                return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._server.accept(sock, self._pool)
+        self._listening = ListeningSocket(
+            address.host, address.port, server, self._accept
+        )
+        self.address = type(address)(*self._listening.get_address())
 
     def close(self) -> None:
         """Stop listening."""
-        self._server.remove_socket(self._sock.fileno())
-        self._sock.close()
+        self._listening.close()
+
+    def _accept(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._server.accept(sock, self._pool)
 
 
 @singledispatch
--- a/tests/test_forwarding/test_stop.py
+++ b/tests/test_forwarding/test_stop.py
@@ -8,9 +8,10 @@
 import pytest
 
 from monsoontray.forwarding.caller import CallerConnection
-from monsoontray.forwarding.listener import ACCEPT_BATCH, Listener
+from monsoontray.forwarding.listener import Listener
 from monsoontray.forwarding.parsing import HeadLimits
 from monsoontray.forwarding.sides import GuardSide
+from monsoontray.kernel.listening import ACCEPT_BATCH
 from monsoontray.kernel.timers import Timers
 from monsoontray.settings.settings import Address
 
