Let tests use the server and the listening socket of a node as they are now

Cause: a test replaced the servers inside a class that is gone, another read a private socket. Change: the first sends a request whose handler takes 30 s and stops the real server, with the same bounds; the second asks the listener for its address.

--- a/monsoontray/forwarding/listener.py
+++ b/monsoontray/forwarding/listener.py
@@ -31,6 +31,10 @@
             address.host, address.port, acceptor, self._accept
         )
 
+    def get_address(self) -> tuple[str, int]:
+        """Return the host and port that the socket is bound to."""
+        return self._listening.get_address()
+
     def close(self) -> None:
         """Stop listening and close the socket.
 
--- a/tests/test_forwarding/test_stop.py
+++ b/tests/test_forwarding/test_stop.py
@@ -44,7 +44,7 @@
     """They were reset, although their callers had sent requests already."""
     forwarder = FakeForwarder()
     listener = Listener(Address("127.0.0.1", 0), None, forwarder)
-    address = listener._sock.getsockname()
+    address = listener.get_address()
     callers = [socket.create_connection(address) for _ in range(3 * ACCEPT_BATCH)]
     for caller in callers:
         caller.sendall(b"GET / HTTP/1.1\r\n")
--- a/tests/test_platform/test_endpoint.py
+++ b/tests/test_platform/test_endpoint.py
@@ -5,14 +5,16 @@
 import socket
 import threading
 import time
-from types import SimpleNamespace
 
 import pytest
 
 from bench.caller import Router, build_request
+from monsoontray.http.connection import ServerResponse
+from monsoontray.http.server import EndpointServer
+from monsoontray.http.workers import WorkerPool
 from monsoontray.kernel.clock import SystemClock
-from monsoontray.platform.endpoint import EndpointService
-from tests.fakes import FakeKernel
+from monsoontray.kernel.kernel import Kernel
+from monsoontray.settings.settings import Address
 
 NODES_IN_ZONE = 64  # twice those of the grown sites
 POLL_TIMEOUT_S = 1.0  # after which nodes leave out a reader
@@ -28,13 +30,24 @@
 
 def test_stop_ends_at_its_deadline_although_a_server_takes_longer():
     """A node whose calls take the whole grace period must end before it is killed."""
-    may_end = threading.Event()
-    service = EndpointService(FakeKernel())
-    service._servers = [SimpleNamespace(stop=lambda: may_end.wait(30.0))]
-    service._clock = SystemClock()
-    started_at = time.monotonic()
-    service.stop(SystemClock().now() + 0.1)
-    assert time.monotonic() - started_at < 5.0
+    may_end, has_begun = threading.Event(), threading.Event()
+
+    def handle(request):
+        has_begun.set()
+        may_end.wait(30.0)
+        return ServerResponse()
+
+    address = Address("127.0.0.1", 0)
+    pools = {address: WorkerPool("test", 1)}
+    server = EndpointServer("test", Kernel(SystemClock()), handle, pools)
+    server.start()
+    (bound,) = server.get_addresses()
+    with socket.create_connection((bound.host, bound.port)) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        assert has_begun.wait(5.0)
+        started_at = time.monotonic()
+        server.stop(SystemClock().now() + 0.1)
+        assert time.monotonic() - started_at < 5.0
     may_end.set()
 
 
