Move the watch of one key out of the platform's package

Change: how one key is watched by listing, watching and reading is the product's own; store/watching.py has it, the platform's client only asks for it.

--- a/monsoontray/platform/store.py
+++ b/monsoontray/platform/store.py
@@ -33,12 +33,12 @@
     Put,
     ReadOutcome,
     Record,
-    Unchanged,
     Unknown,
     WatchOutcome,
     WatchPrefixOutcome,
     WriteOutcome,
 )
+from monsoontray.store.watching import watch_key
 
 WATCH_MARGIN_S = 0.5  # allowed beyond the requested wait, for a slow response
 MAX_IDLE_CONNECTIONS = 4
@@ -179,31 +179,8 @@
 
     def watch(self, key: str, revision: int, wait_s: float) -> WatchOutcome:
         """Wait until the revision of a key differs from the given one."""
-        after = revision
-        if revision == ABSENT:
-            after = self._absence_revisions.get(key, ABSENT)
-        if after == ABSENT:
-            listing = self.list_prefix(key)
-            if isinstance(listing, NotDone):
-                return listing
-            for record in listing.records:
-                if record.key == key:
-                    return record
-            after = listing.revision
-        outcome = self.watch_prefix(key, after, wait_s)
-        if isinstance(outcome, Compacted):
-            current = self.get(key)
-            if isinstance(current, Record) and current.revision == revision:
-                return Unchanged()
-            return current
-        if isinstance(outcome, NotDone):
-            return outcome
-        for record in reversed(outcome.records):
-            if record.key == key:
-                return record
-        if any(record.key == key for record in outcome.removed):
-            return Record(key, ABSENT, b"")
-        return Unchanged()
+        absent_at = self._absence_revisions.get(key, ABSENT)
+        return watch_key(self, key, revision, absent_at, wait_s)
 
     def compare_and_swap(
         self, key: str, revision: int, value: bytes, lease_id: str = ""
