--- a/monsoontray/decisions/duty_steps.py
+++ b/monsoontray/decisions/duty_steps.py
@@ -1,4 +1,4 @@
-"""Records of the duty to report usage, and its steps with their outcomes."""
+"""Records of the duty to report usage, and the steps of a node that holds it."""
 
 from __future__ import annotations
 
@@ -28,6 +28,7 @@
     token: SequenceNumber = 0  # given out last
     recorded: SequenceNumber = 0  # newest window whose counts are decided
     windows: Annotated[tuple[WindowUsage, ...], Meta(max_length=16)] = ()
+    era: SequenceNumber = 0  # of the store, when the newest window was recorded
 
 
 class Holder(Struct, frozen=True):
