Count calls to the store by kind and reason

Calls to the platform's store are priced, and nothing told which part of a node makes them. Each client now names its reason, and the metrics page counts all calls by kind and reason. The rollouts' decider and the records of departures have clients of their own, so that they are told apart.

python -m bench run store-calls counts a fleet's calls at a start, at rest, around the kill of a node, and while the store is silent or resets connections.

--- a/bench/experiments/registry.py
+++ b/bench/experiments/registry.py
@@ -11,6 +11,7 @@
 from bench.experiments.latency import measure_latency
 from bench.experiments.outage import measure_outage
 from bench.experiments.partition import measure_partition
+from bench.experiments.store_calls import measure_store_calls
 from bench.experiments.throughput import measure_throughput
 from bench.options import Options
 
@@ -71,5 +72,12 @@
             10,
             15.0,
         ),
+        Experiment(
+            "store-calls",
+            "calls to the platform's store by kind and reason",
+            measure_store_calls,
+            6,
+            45.0,
+        ),
     )
 }
--- a/monsoontray/configuration/acceptance.py
+++ b/monsoontray/configuration/acceptance.py
@@ -58,7 +58,7 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(NAME, kernel, handle_message)
-        self._client: StoreClient = kernel.find("store").open_client()
+        self._client: StoreClient = kernel.find("store").open_client("versions")
 
     def close(self) -> None:
         """Close the store client."""
--- a/monsoontray/configuration/watcher.py
+++ b/monsoontray/configuration/watcher.py
@@ -74,7 +74,7 @@
         self._lease_s = settings.get_seconds("watch_lease_ms")
         self._max_wait_s = settings.get_seconds("watch_wait_ms")
         self._random = Random(f"{self._node} {kernel.clock.wall_time()}")
-        self._client: StoreClient = kernel.find("store").open_client()
+        self._client: StoreClient = kernel.find("store").open_client("head")
         self._lease: Lease | None = None
         self._watching = False
         self._head_revision = -1
--- a/monsoontray/containment/writer.py
+++ b/monsoontray/containment/writer.py
@@ -35,7 +35,7 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(NAME, kernel, handle_message)
         settings: Settings = kernel.find("settings").settings
-        self._client: StoreClient = kernel.find("store").open_client()
+        self._client: StoreClient = kernel.find("store").open_client("ends")
         self._lifetime_s = settings.get_seconds("containment_ms")
         self._random = Random(settings.get_string("node"))
         self._unwritten: dict[str, bytes] = {}  # values by key
--- a/monsoontray/discovery/publisher.py
+++ b/monsoontray/discovery/publisher.py
@@ -41,7 +41,10 @@
         settings: Settings = kernel.find("settings").settings
         node = settings.get_string("node")
         self._key = NODE_KEY_PREFIX + node
-        self._client: StoreClient = kernel.find("store").open_client()
+        self._client: StoreClient = kernel.find("store").open_client("record")
+        self._departures_client: StoreClient = kernel.find("store").open_client(
+            "departures"
+        )
         self._lifetime_s = settings.get_seconds("watch_lease_ms")
         self._random = Random(node)
         self._failures = 0
@@ -111,6 +114,7 @@
         if self._unwritten_departures is not None:
             self._write_departures()
         self.withdraw()
+        self._departures_client.close()
         self._client.close()
 
     def _ensure_lease(self) -> bool:
@@ -159,7 +163,8 @@
         """Write the record of departures; return whether the store confirmed it."""
         value = self._unwritten_departures
         assert value is not None
-        outcome = self._client.commit({}, (Put(self._departures_key, value),))
+        put = Put(self._departures_key, value)
+        outcome = self._departures_client.commit({}, (put,))
         if not isinstance(outcome, Done):
             return False
         self._unwritten_departures = None
--- a/monsoontray/discovery/watch.py
+++ b/monsoontray/discovery/watch.py
@@ -89,7 +89,7 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(NAME, kernel, _reject)
         settings: Settings = kernel.find("settings").settings
-        self._client: StoreClient = kernel.find("store").open_client()
+        self._client: StoreClient = kernel.find("store").open_client("watch")
         self._wait_s = settings.get_seconds("watch_wait_ms")
         self._random = Random(settings.get_string("node"))
         self._mirror_client = MirrorClient(kernel, self._random)
--- a/monsoontray/metrics/service.py
+++ b/monsoontray/metrics/service.py
@@ -76,6 +76,12 @@
             "Ends of local servers that were running requests",
             registry=self.registry,
         )
+        self._store_calls = Counter(
+            "monsoontray_store_calls",
+            "Calls to the store, by kind and by what they were made for",
+            ("kind", "reason"),
+            registry=self.registry,
+        )
         self._usage_reports = Counter(
             "monsoontray_usage_reports",
             "Usage reports sent by this node, by outcome",
@@ -166,6 +172,15 @@
         """Count the end of a local server that was running requests."""
         self._server_ends.inc()
 
+    def count_store_call(self, reason: str, kind: str) -> None:
+        """Count a call to the store, whatever its outcome."""
+        self._store_calls.labels(kind, reason).inc()
+
+    def get_store_calls(self) -> dict[str, int]:
+        """Return the calls to the store by reason and kind."""
+        calls = sorted(self._store_calls.children.items())
+        return {f"{reason} {kind}": int(each.value) for (kind, reason), each in calls}
+
     def count_usage_report(self, outcome: str) -> None:
         """Count a usage report that was sent."""
         self._usage_reports.labels(outcome).inc()
--- a/monsoontray/platform/store.py
+++ b/monsoontray/platform/store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import base64
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -104,12 +104,17 @@
     """HTTP client of the store; switches to the next endpoint after a failure."""
 
     def __init__(
-        self, endpoints: Sequence[str], timeout_s: float, clock: Clock
+        self,
+        endpoints: Sequence[str],
+        timeout_s: float,
+        clock: Clock,
+        count_call: Callable[[str], None] = lambda kind: None,
     ) -> None:
         self._endpoints = tuple(parse_url(endpoint) for endpoint in endpoints)
         self._current_endpoint = 0
         self._timeout_s = timeout_s
         self._clock = clock
+        self._count_call = count_call
         #: Store revisions at which keys were found not to exist.
         self._absence_revisions: dict[str, int] = {}
         self.era = StoreEra()  # that the latest answer named
@@ -117,7 +122,7 @@
 
     def get(self, key: str) -> ReadOutcome:
         """Return the record of a key, with revision ABSENT if it does not exist."""
-        response = self._send_get("/kv-key", {"key": key}, self._timeout_s)
+        response = self._send_get("read", "/kv-key", {"key": key}, self._timeout_s)
         if isinstance(response, NotDone):
             return response
         if response.status == 404:
@@ -138,7 +143,7 @@
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
-            response = self._send_get("/kv-range", query, self._timeout_s)
+            response = self._send_get("listing", "/kv-range", query, self._timeout_s)
             if isinstance(response, NotDone):
                 return response
             page = _decode(response, PageSchema)
@@ -159,7 +164,7 @@
         """Wait for changes to keys with a prefix after a revision."""
         wait_ms = int(wait_s * _MS_PER_S)
         query = {"prefix": prefix, "after": revision, "wait_ms": wait_ms}
-        response = self._send_get("/kv-watch", query, wait_s + WATCH_MARGIN_S)
+        response = self._send_get("watch", "/kv-watch", query, wait_s + WATCH_MARGIN_S)
         if isinstance(response, NotDone):
             return response
         if response.status == _COMPACTED:
@@ -225,7 +230,7 @@
             "puts": [_encode_put(put) for put in puts],
             "remove": list(removed),
         }
-        response = self._send_request("POST", "/kv-txn", body, self._timeout_s)
+        response = self._send_request("write", "POST", "/kv-txn", body, self._timeout_s)
         if isinstance(response, NotDone | Unknown):
             return response
         if response.status == _LEASE_NOT_FOUND:
@@ -241,16 +246,16 @@
 
     def grant_lease(self, lifetime_s: float) -> LeaseOutcome:
         """Request a new lease."""
-        return self._request_lease("/kv-lease", {"ttl_s_time": lifetime_s}, "")
+        return self._request_lease("grant", "/kv-lease", {"ttl_s_time": lifetime_s}, "")
 
     def renew_lease(self, lease_id: str, lifetime_s: float) -> LeaseOutcome:
         """Renew a lease for the lifetime that it was granted with."""
-        return self._request_lease(f"/kv-keep/{lease_id}", None, lease_id)
+        return self._request_lease("renewal", f"/kv-keep/{lease_id}", None, lease_id)
 
     def revoke_lease(self, lease_id: str) -> WriteOutcome:
         """Revoke a lease."""
         response = self._send_request(
-            "DELETE", f"/kv-lease-end/{lease_id}", None, self._timeout_s
+            "end", "DELETE", f"/kv-lease-end/{lease_id}", None, self._timeout_s
         )
         if isinstance(response, NotDone | Unknown):
             return response
@@ -262,9 +267,11 @@
         """Close the connections."""
         self._http.close()
 
-    def _request_lease(self, path: str, body: object, lease_id: str) -> LeaseOutcome:
+    def _request_lease(
+        self, kind: str, path: str, body: object, lease_id: str
+    ) -> LeaseOutcome:
         requested_at = self._clock.now()
-        response = self._send_request("POST", path, body, self._timeout_s)
+        response = self._send_request(kind, "POST", path, body, self._timeout_s)
         if isinstance(response, NotDone | Unknown):
             return response
         if response.status == _LEASE_NOT_FOUND:
@@ -275,16 +282,17 @@
         return Lease(lease_id or str(granted.lease), requested_at + granted.ttl_s_time)
 
     def _send_get(
-        self, path: str, query: dict[str, Any], timeout_s: float
+        self, kind: str, path: str, query: dict[str, Any], timeout_s: float
     ) -> HttpResponse | NotDone:
         response = self._send_request(
-            "GET", f"{path}?{urlencode(query)}", None, timeout_s
+            kind, "GET", f"{path}?{urlencode(query)}", None, timeout_s
         )
         return NotDone(response.cause) if isinstance(response, Unknown) else response
 
     def _send_request(
-        self, method: str, path: str, body: object, timeout_s: float
+        self, kind: str, method: str, path: str, body: object, timeout_s: float
     ) -> HttpResponse | NotDone | Unknown:
+        self._count_call(kind)
         now = self._clock.now()
         request = HttpRequest(
             method,
--- a/monsoontray/rollouts/decider.py
+++ b/monsoontray/rollouts/decider.py
@@ -29,8 +29,8 @@
 
     __slots__ = ("_client", "_clock", "_lease", "_next_attempt_at", "_node", "_random")
 
-    def __init__(self, kernel: Kernel, client: StoreClient) -> None:
-        self._client = client
+    def __init__(self, kernel: Kernel) -> None:
+        self._client: StoreClient = kernel.find("store").open_client("decider")
         self._clock = kernel.clock
         self._node: str = kernel.find("settings").settings.get_string("node")
         self._random = Random(self._node)
@@ -67,6 +67,11 @@
             self._lease = None
         self._next_attempt_at = None
 
+    def close(self) -> None:
+        """Release the lease and close the client."""
+        self.release()
+        self._client.close()
+
     def handle_taken(self, key: str) -> None:
         """Delay the next attempt, since a node has acquired the lease."""
         if key == DECIDER_KEY:
--- a/monsoontray/rollouts/service.py
+++ b/monsoontray/rollouts/service.py
@@ -91,8 +91,8 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(NAME, kernel, handle_message)
-        self._client: StoreClient = kernel.find("store").open_client()
-        self._decider = DeciderLease(kernel, self._client)
+        self._client: StoreClient = kernel.find("store").open_client("status")
+        self._decider = DeciderLease(kernel)
         self._evidence = EvidenceReader(kernel)
         self._refusals = EntryRefusals(kernel.find("metrics"), "rollout-plan")
         self._rollouts: dict[str, Rollout] = {}
@@ -164,7 +164,7 @@
 
     def close(self) -> None:
         """Release the lease and close the client."""
-        self._decider.release()
+        self._decider.close()
         self._client.close()
 
     def _handle_plan_record(self, record: Record, now: float) -> None:
--- a/monsoontray/usage/duty.py
+++ b/monsoontray/usage/duty.py
@@ -70,7 +70,9 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(NAME, kernel, handle_message)
         settings: Settings = kernel.find("settings").settings
-        self.client: StoreClient = kernel.find("store").open_client(STORE_TIMEOUT_S)
+        self.client: StoreClient = kernel.find("store").open_client(
+            "usage", STORE_TIMEOUT_S
+        )
         self._http = HttpClient(kernel.clock, MAX_IDLE_CONNECTIONS)
         self._report_address = settings.get_address("usage_address")
         self._node = settings.get_string("node")
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -180,7 +180,7 @@
     def is_registered(self, name):
         return True
 
-    def open_client(self, max_timeout_s=0.0):
+    def open_client(self, reason, max_timeout_s=0.0):
         return self.store
 
     def count_refused_version(self):
--- a/tests/test_configuration/test_acceptance.py
+++ b/tests/test_configuration/test_acceptance.py
@@ -40,7 +40,7 @@
     def __init__(self, client) -> None:
         self.client = client
 
-    def open_client(self):
+    def open_client(self, reason):
         return self.client
 
 
--- a/tests/test_metrics/test_service.py
+++ b/tests/test_metrics/test_service.py
@@ -54,3 +54,12 @@
 
     labels = (("kind", 'odd "kind"\\\n'),)
     assert read_samples(metrics)["monsoontray_entries_refused_total", labels] == 1
+
+
+def test_calls_to_the_store_are_counted_by_kind_and_reason():
+    metrics = Metrics(None)
+    for kind in ("grant", "write", "renewal", "renewal"):
+        metrics.count_store_call("record", kind)
+    labels = (("kind", "renewal"), ("reason", "record"))
+    assert read_samples(metrics)["monsoontray_store_calls_total", labels] == 2
+    assert metrics.get_store_calls()["record renewal"] == 2
--- a/tests/test_store/test_http.py
+++ b/tests/test_store/test_http.py
@@ -167,3 +167,17 @@
     assert outcome == NotDone(Cause.UNREACHABLE)
     assert isinstance(client.compare_and_swap("next", ABSENT, b"x"), Done)
     client.close()
+
+
+def test_every_call_is_counted_also_if_it_fails(store):
+    counted = []
+    endpoints = ["http://127.0.0.1:1", f"http://{store.store_address}"]
+    client = PlatformStoreClient(endpoints, 0.5, SystemClock(), counted.append)
+    client.get("a")
+    client.list_prefix("a")
+    lease = client.grant_lease(5.0)
+    client.renew_lease(lease.lease_id, 5.0)
+    client.commit({}, (), ("a",))
+    client.revoke_lease(lease.lease_id)
+    client.close()
+    assert counted == ["read", "listing", "grant", "renewal", "write", "end"]
