Leave the calls to a lost store to the zone's reader

While the store was down, each node of a large fleet called it every 0.6 s, though others could tell when it is back. Now a node whose zone has a reader, and whom others tell that they have lost the store too, calls it once in 1.6 to 3.2 s and asks its reader every 0.25 to 0.5 s. Nodes that no other node answers, readers and small fleets call as often as before, and the first call after the readers' loss is made at once, so a store that refuses some nodes is still read by the others.

Seen failing before: 16 calls in an outage of 8 s where at most 7 are allowed.

--- a/monsoontray/discovery/watch.py
+++ b/monsoontray/discovery/watch.py
@@ -9,9 +9,9 @@
 from typing import TYPE_CHECKING, Any
 
 from monsoontray.containment.encoding import PREFIX as CONTAINMENT_PREFIX
-from monsoontray.decisions.backoff import compute_retry_time
 from monsoontray.decisions.freshness import Proof
 from monsoontray.decisions.sources import StoreAccess
+from monsoontray.decisions.store_retry import StoreRetry
 from monsoontray.discovery.encoding import (
     DEPARTURES_KEY_PREFIX,
     MIRRORED_PREFIXES,
@@ -49,8 +49,6 @@
     ("usage-duty", (USAGE_HOLDER_KEY,)),
 )
 ALL_KEYS = ""
-INITIAL_RETRY_DELAY_S = 0.1  # doubled after each further failed call
-MAX_RETRY_DELAY_S = 0.8
 OUTAGE_WAIT_S = 0.2  # longest wait of a watch while the store is unreachable
 #: Pause after a watch that returned changes, so that related changes arrive together.
 BATCH_PAUSE_S = 0.4
@@ -96,7 +94,7 @@
         self._proofs = ProofReporter(kernel)
         #: Services of this node that receive changes, as in SUBSCRIBERS.
         self._subscribers = [s for s in SUBSCRIBERS if kernel.is_registered(s[0])]
-        self._failures = 0
+        self._retry = StoreRetry(self._random)
         self._newest_revision = 0  # highest revision read so far
         self._revision: int | None = None  # None until the next listing
         self._is_store_unreachable = False
@@ -132,6 +130,9 @@
         now = self.clock.now()
         if access.sources and now >= self._reads_directly_until:
             return self._poll_reader(access.sources, self._revision)
+        if access.sources and not self._retry.may_call(now):
+            self._read_through_peers(access)
+            return self._retry.compute_next_read(self.clock.now())
         if now >= self._replay_until:
             return self._list(access)
         return self._watch(self._revision, access)
@@ -168,9 +169,7 @@
             return StoreAccess()
         return access
 
-    def _poll_reader(
-        self, sources: tuple[ListedNode, ...], known_revision: int
-    ) -> float:
+    def _poll_reader(self, sources: tuple[ListedNode, ...], revision: int) -> float:
         """Read through a reader; return when to read next."""
         self._set_reads_store(False)
         now = self.clock.now()
@@ -184,9 +183,9 @@
             return now
         source = usable[0]
         wait_s = 0.0 if self._proofs.must_hurry() else POLL_WAIT_S
-        update = self._mirror_client.poll_reader(source, known_revision, wait_s)
+        update = self._mirror_client.poll_reader(source, revision, wait_s)
         reads_store = update is not None and update.reads_store
-        has_changes = update is not None and update.revision > known_revision
+        has_changes = update is not None and update.revision > revision
         if update is not None and reads_store:
             if has_changes:
                 self._apply_update(update)
@@ -200,7 +199,6 @@
             )
             return now
         self._readers_tried = 0
-        self._failures = 0
         self._mark_current()
         pause_s = self._choose_batch_pause(now) if has_changes else POLL_PAUSE_S
         return now + pause_s
@@ -279,22 +277,23 @@
             self._is_store_unreachable = True
             details.warning("store lost")
         self._set_reads_store(False)
-        self._read_through_peers(access)
-        due = compute_retry_time(
-            self.clock.now(),
-            self._failures,
-            INITIAL_RETRY_DELAY_S,
-            MAX_RETRY_DELAY_S,
-            self._random,
-        )
-        self._failures += 1
-        return due
-
-    def _read_through_peers(self, access: StoreAccess) -> None:
-        """Post a newer update of the zone's reader, or of a few other nodes."""
-        updates: list[PeerUpdate] = []
+        is_told = self._read_through_peers(access)
+        now = self.clock.now()
+        call_at = self._retry.record_failure(now)
+        if not access.sources or not is_told:
+            return call_at
+        self._retry.record_lost(now)
+        return self._retry.compute_next_read(now)
+
+    def _read_through_peers(self, access: StoreAccess) -> bool:
+        """Post a newer update of the zone's reader, or of a few other nodes.
+
+        Return whether others have told that they do not reach the store either.
+        """
+        is_told, updates = False, list[PeerUpdate]()
         for reader in access.sources[:1]:
             update = self._mirror_client.poll_reader(reader, self._newest_revision, 0.0)
+            is_told = update is not None
             if update is not None and update.reads_store:
                 updates = [update]
                 self._excluded_until.pop(reader.node, None)
@@ -308,6 +307,9 @@
             self._report_proof(update.proof)
         if any(update.reads_store for update in updates):
             self._replay_until = self.clock.now() + MAX_REPLAY_S
+            self._retry.record_found()
+            return False
+        return is_told or bool(updates)
 
     def _log_slow_read(
         self, call: str, records: tuple[Record, ...], expected_by: float
@@ -326,9 +328,9 @@
         """Record that this node now knows all changes of the store."""
         self._replay_until = self.clock.now() + MAX_REPLAY_S
         self._is_disturbed = False
+        self._retry.record_success()
 
     def _handle_success(self) -> None:
-        self._failures = 0
         self._mark_current()
         if self._is_store_unreachable:
             self._is_store_unreachable = False
--- a/tests/test_discovery/test_peer_reading.py
+++ b/tests/test_discovery/test_peer_reading.py
@@ -5,6 +5,7 @@
 import pytest
 
 from monsoontray.decisions.sources import StoreAccess
+from monsoontray.decisions.store_retry import MAX_LISTENING_S
 from monsoontray.discovery.messages import ChooseStoreAccess, StoreAccessChanged
 from monsoontray.discovery.mirror_client import PeerUpdate
 from monsoontray.discovery.watch import (
@@ -180,3 +181,25 @@
     watch._mirror_client.polled.clear()
     watch.read()
     assert watch._mirror_client.polled == ["reader-0"]
+
+
+# Each node of a large fleet called a store that was down every 0.6 s.
+def test_node_leaves_the_calls_to_a_lost_store_to_its_reader(watch, kernel):
+    for source in SOURCES:
+        watch._mirror_client.updates[source.node] = build_update(2, reads_store=False)
+    kernel.store.unreachable = True
+    waits = record_waits(kernel.store)
+    kernel.clock.advance(MAX_REPLAY_S)
+    listings = []
+    list_prefix = kernel.store.list_prefix
+    kernel.store.list_prefix = lambda key: listings.append(key) or list_prefix(key)
+    back_at = kernel.clock.now() + 8.0
+    while kernel.clock.now() < back_at:
+        kernel.clock.seconds = max(watch.read(), kernel.clock.now() + 0.001)
+    assert 2 <= len(waits) + len(listings) <= 7
+    new = Record("op/config", 9, b"2")
+    watch._mirror_client.updates["reader-0"] = build_update(9, new)
+    watch.read()
+    watch.read()
+    assert kernel.pop_posted("operator")[0].records == (new,)
+    assert kernel.clock.now() <= back_at + MAX_LISTENING_S
