--- a/monsoontray/discovery/publisher.py
+++ b/monsoontray/discovery/publisher.py
@@ -27,6 +27,9 @@
 RENEWALS_PER_LIFETIME = 3
 INITIAL_RETRY_DELAY_S = 0.1  # doubled after each further failed call
 MAX_RETRY_DELAY_S = 0.8
+#: Time after which departures are written again though the store did not answer since.
+DEPARTURES_RETRY_S = 3.0
+MAX_SPREAD_S = 1.0
 
 
 class Publisher(Task):
@@ -54,6 +57,7 @@
         self._departures_key = DEPARTURES_KEY_PREFIX + node
         self._departures: bytes | None = None  # the latest
         self._unwritten_departures: bytes | None = None
+        self._departures_retry_at = 0.0
         self._era: int | None = None  # in which the store has the departures
         self._next_attempt_at = self.clock.now()
 
@@ -63,11 +67,16 @@
 
     def on_deadline(self) -> None:
         """Obtain or renew the lease and write the records that are not written."""
-        # Departures do not wait for a lease.
-        are_departures_written = (
-            self._unwritten_departures is None or self._write_departures()
+        # New departures do not wait for a lease. Afterwards a renewal, which costs
+        # less than a write, shows whether the store answers again.
+        is_retry = (
+            self._unwritten_departures is not None
+            and self.clock.now() < self._departures_retry_at
         )
-        has_lease = self._ensure_lease()
+        are_departures_written = not is_retry and self._write_departures()
+        has_lease = self._ensure_lease(must_renew=is_retry)
+        if is_retry and has_lease:
+            are_departures_written = self._write_departures()
         is_written = not self._value or self._is_written
         if are_departures_written and has_lease and (is_written or self._write()):
             self._failures = 0
@@ -91,8 +100,8 @@
         """
         self._value = value
         self._is_written = False
-        interval_s = self._lifetime_s / RENEWALS_PER_LIFETIME
-        delay_s = self._random.uniform(0.0, interval_s) if is_spread else 0.0
+        spread_s = min(self._lifetime_s / RENEWALS_PER_LIFETIME, MAX_SPREAD_S)
+        delay_s = self._random.uniform(0.0, spread_s) if is_spread else 0.0
         due = self.clock.now() + delay_s
         self._next_attempt_at = min(self._next_attempt_at, due) if is_spread else due
 
@@ -100,6 +109,7 @@
         """Write the record of departures."""
         self._departures = value
         self._unwritten_departures = value
+        self._departures_retry_at = 0.0
         self._next_attempt_at = self.clock.now()
 
     def withdraw(self) -> None:
@@ -111,19 +121,18 @@
 
     def close(self) -> None:
         """Write what is left, revoke the lease of the node and close the client."""
-        if self._unwritten_departures is not None:
-            self._write_departures()
+        self._write_departures()
         self.withdraw()
         self._departures_client.close()
         self._client.close()
 
-    def _ensure_lease(self) -> bool:
+    def _ensure_lease(self, must_renew: bool = False) -> bool:
         """Obtain or renew the lease if necessary; return whether there is one."""
         now = self.clock.now()
         lease = self._lease
         if lease is None:
             outcome = self._client.grant_lease(self._lifetime_s)
-        elif lease.deadline - now < self._lifetime_s * (
+        elif must_renew or lease.deadline - now < self._lifetime_s * (
             1.0 - 0.5 / RENEWALS_PER_LIFETIME
         ):
             outcome = self._client.renew_lease(lease.lease_id, self._lifetime_s)
@@ -145,6 +154,7 @@
         """Write the departures again if the store may have lost them."""
         if self._era is not None and era != self._era:
             self._unwritten_departures = self._departures
+            self._departures_retry_at = 0.0
             if self._departures is not None:
                 self._next_attempt_at = self.clock.now()
         self._era = era
@@ -160,9 +170,11 @@
         return self._is_written
 
     def _write_departures(self) -> bool:
-        """Write the record of departures; return whether the store confirmed it."""
+        """Write departures that are not written; return whether the store has all."""
         value = self._unwritten_departures
-        assert value is not None
+        if value is None:
+            return True
+        self._departures_retry_at = self.clock.now() + DEPARTURES_RETRY_S
         put = Put(self._departures_key, value)
         outcome = self._departures_client.commit({}, (put,))
         if not isinstance(outcome, Done):
--- a/tests/test_discovery/test_publisher.py
+++ b/tests/test_discovery/test_publisher.py
@@ -7,7 +7,7 @@
     PublishDepartures,
     PublishNode,
 )
-from monsoontray.discovery.publisher import Publisher, handle_message
+from monsoontray.discovery.publisher import MAX_RETRY_DELAY_S, Publisher, handle_message
 from monsoontray.store.outcomes import Cause, Unknown
 from tests.fakes import FakeKernel
 
@@ -136,3 +136,22 @@
     handle_message(PublishDepartures(b"second"), publisher)
     publisher.close()
     assert kernel.store.records[DEPARTURES_KEY].value == b"second"
+
+
+# The departures were written again every 0.6 s, by each node whose server left.
+def test_departures_are_rarely_written_to_a_store_that_does_not_answer(kernel):
+    publisher = publish(kernel)
+    kernel.store.unreachable = True
+    writes = kernel.store.writes
+    handle_message(PublishDepartures(b"left"), publisher)
+    run(publisher, kernel, 0.05)
+    assert kernel.store.writes == writes + 1  # at once
+    run(publisher, kernel, 8.0)
+    assert kernel.store.writes <= writes + 6
+    handle_message(PublishDepartures(b"next"), publisher)
+    writes = kernel.store.writes
+    run(publisher, kernel, 0.05)
+    assert kernel.store.writes == writes + 1
+    kernel.store.unreachable = False
+    run(publisher, kernel, MAX_RETRY_DELAY_S)
+    assert kernel.store.records[DEPARTURES_KEY].value == b"next"
