--- a/bench/experiments/store_calls.py
+++ b/bench/experiments/store_calls.py
@@ -14,6 +14,7 @@
 from bench.progress import show_progress
 
 ZONES = 3
+LEASE_MS = 5_000  # as in deploy/node.json
 REST_S = 20.0
 SILENCE_S = 8.0
 RECOVERY_S = 6.0
@@ -27,7 +28,8 @@
         mesh = Mesh(fleet)
         mesh.write_key("op/config", build_configuration(1, build_route("/r", "one")))
         for i in range(options.nodes):
-            mesh.add_node(f"node-{i:02}", f"zone-{i % ZONES}", "one")
+            zone = f"zone-{i % ZONES}"
+            mesh.add_node(f"node-{i:02}", zone, "one", watch_lease_ms=LEASE_MS)
         for i, node in enumerate(mesh.nodes):
             fleet.wait_for_node(node.handle)
             mesh.launch_server(node, f"i-{i}")
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -46,11 +46,13 @@
             service=service,
             server_address=f"127.0.0.1:{server_port}",
             ready_address=ready_address,
-            watch_wait_ms=2_000,
-            watch_lease_ms=3_000,
-            store_timeout_ms=1_000,
-            guard_queue_length=64,
-            **settings,
+            **{
+                "watch_wait_ms": 2_000,
+                "watch_lease_ms": 3_000,
+                "store_timeout_ms": 1_000,
+                "guard_queue_length": 64,
+                **settings,
+            },
         )
         fleet.start_node(handle)
         node = MeshNode(handle, ready_address, server_port, service)
