Keep late calls out of the slots that a trial adds

Cause: at a server that collapses when full, trials of the announced slots ran in one period of four, and late calls filled the slots that they added. The late ones slowed down the calls that could be on time.

Change: a late call takes a slot only below the learned limit, also in a trial; a limited server is tried in one period of six.

The test holds unchanged; it failed before.

--- a/monsoontray/decisions/capacity.py
+++ b/monsoontray/decisions/capacity.py
@@ -37,7 +37,7 @@
 MAX_TRIAL_PERIOD_S = 0.5
 #: A server whose limit is probably lower takes as many calls as it has slots in one
 #: period of so many.
-LIMITED_TRIAL_PERIODS = 4
+LIMITED_TRIAL_PERIODS = 6
 MAX_PACE_VARIANCE = 1.0
 MAX_DRIFT_S = 0.25  # a longer time without an end teaches and forgets nothing
 RUN_TIME_WEIGHT = 0.1  # of the latest call in the mean of all calls
--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -335,8 +335,14 @@
         return not self._has_room_for_late(now)
 
     def _has_room_for_late(self, now: float) -> bool:
-        """Return whether a late call may take a slot."""
+        """Return whether a late call may take a slot.
+
+        In a trial of more calls than the server takes well, late ones would slow down
+        those that can be on time.
+        """
         capacity = self.get_capacity()
+        if self.capacity is not None:
+            capacity = min(capacity, self.capacity.get_learned_limit())
         if capacity == 1 or now - self._last_on_time_at > KEPT_SLOT_S:
             return True
         return self.in_use < capacity - 1
