Weigh the size of answers in the choice between zones

Cause: a call to another zone was charged for the bytes of its request alone. Answers, which are often larger, weren't known, so calls with large answers went as far as those with small ones.

Change: entry nodes learn the mean size of each route's answers.

--- a/monsoontray/forwarding/attempts.py
+++ b/monsoontray/forwarding/attempts.py
@@ -126,7 +126,7 @@
         forwarder.loads,
         forwarder.now,
         forwarder.random,
-        _estimate_body_bytes(call.head),
+        forwarder.answer_sizes.add_to(_estimate_body_bytes(call.head), route.name),
         may_explore=route.idempotent and not attempts.tried and not attempts.busy,
         route=route.name,
     )
--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -56,6 +56,7 @@
         "_awaits_fingerprint",
         "_deadline_timer",
         "_slot_granted_at",
+        "answer_bytes",
         "attempts",
         "buffered_response",
         "call_id",
@@ -95,6 +96,7 @@
         self.server = ""  # the server of the current attempt
         self.guard: GuardState | None = None  # local guard whose slot the call holds
         self.response_started = False
+        self.answer_bytes = 0  # of the body of the current attempt's response
         self.usage_window = 0  # in which the current attempt was counted
         assigned_by_caller = forwarder.http_profile.callers_assign_call_ids
         id_header = forwarder.http_profile.call_id
@@ -210,6 +212,9 @@
         if isinstance(self.route, EntryRoute):
             seconds = self.now - self._attempt_started_at
             self.forwarder.response_times.record(self.route.name, seconds)
+            if not failed:
+                sizes = self.forwarder.answer_sizes
+                sizes.record(self.route.name, self.answer_bytes)
         self.forwarder.report.record_response(self)
         self.forwarder.containment.record_completion(self)
         self._clean_up()
--- a/monsoontray/forwarding/forwarder.py
+++ b/monsoontray/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from monsoontray.containment.messages import UpdateContainment
 from monsoontray.decisions.admission import NO_ENTITLEMENTS
 from monsoontray.decisions.ages import CallerAges
+from monsoontray.decisions.answers import AnswerSizes
 from monsoontray.decisions.budget import RetryBudgets
 from monsoontray.decisions.freshness import Freshness
 from monsoontray.decisions.keys import check_key
@@ -117,6 +118,7 @@
         self._departures = Departures()
         self.ages = CallerAges()
         self.response_times = ResponseTimes()
+        self.answer_sizes = AnswerSizes(settings.get_float("answer_weight"))
         self.dirty_connections: list[Connection] = []
         self.stopping = False
         #: Set when the node stops accepting connections; responses then close theirs.
@@ -256,6 +258,7 @@
         self.route_table = table
         route_names = {each.name for each in table.routes.routes}
         self.response_times.remove_except(route_names)
+        self.answer_sizes.remove_except(route_names)
         self.loads.remove_routes_except(route_names)
         self.ages.remove_routes_except(route_names)
         self._apply_route_limits(table)
@@ -265,6 +268,7 @@
         """Apply changed limits; changed addresses need a restart."""
         self._interface = build_interface(settings)
         self.limits = read_limits(settings)
+        self.answer_sizes.weight = settings.get_float("answer_weight")
         self.freshness.set_bound(settings.get_float("key_withdrawal_s"))
         self.account.update_budget(settings.get_int("memory_mb"))
         self.guards.update_interface(self._interface)
--- a/monsoontray/forwarding/receiving.py
+++ b/monsoontray/forwarding/receiving.py
@@ -46,6 +46,7 @@
     result = classify_response(head, call.call_id, http_profile)
     if isinstance(result, Mismatched):
         return False
+    call.answer_bytes = 0
     handle_announcements(call, head)
     call.stop_attempt_timer()
     if isinstance(result, Refusal):
@@ -73,6 +74,7 @@
     """Forward or buffer a part of the response body."""
     if call.guard_refusal is not None:
         return
+    call.answer_bytes += len(part)
     buffered = call.buffered_response
     if buffered is not None:
         buffered.add(part)
--- a/monsoontray/settings/declarations.py
+++ b/monsoontray/settings/declarations.py
@@ -397,6 +397,15 @@
         minimum=0,
         maximum=10_000,
     ),
+    Declaration(
+        "answer_weight",
+        float,
+        "Weight of the mean size of a route's answers, beside that of the request, "
+        "in the cost of a call to another zone; 0 means that answers don't count.",
+        default=0.0,
+        minimum=0.0,
+        maximum=10.0,
+    ),
     Declaration(
         "max_attempts",
         int,
--- a/tests/test_forwarding/test_attempts.py
+++ b/tests/test_forwarding/test_attempts.py
@@ -5,6 +5,7 @@
 from random import Random
 from types import SimpleNamespace
 
+from monsoontray.decisions.answers import AnswerSizes
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal
 from monsoontray.decisions.retries import AttemptHistory
 from monsoontray.decisions.servers import Endpoint, LoadReport, LoadView, Location
@@ -26,6 +27,7 @@
     forwarder = SimpleNamespace(
         now=0.0,
         loads=LoadView(),
+        answer_sizes=AnswerSizes(),
         location=Location("node-0", "norte", "zone-a"),
         random=Random(1),
         limits=SimpleNamespace(full_memory_s=full_memory_s),
--- a/tests/test_forwarding/test_call_model.py
+++ b/tests/test_forwarding/test_call_model.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from monsoontray.decisions.answers import AnswerSizes
 from monsoontray.decisions.bounds import FleetBounds
 from monsoontray.decisions.budget import RetryBudgets
 from monsoontray.decisions.guard import GuardState
@@ -141,6 +142,7 @@
         self.loads = LoadView()
         self.budgets = RetryBudgets(FleetBounds(0.2, 10.0, 1000.0))
         self.response_times = ResponseTimes()
+        self.answer_sizes = AnswerSizes()
         self.reachability = SimpleNamespace(
             probe=lambda server, address: None,
             mark_unreachable=lambda server, address: self.loads.mark_unreachable(
