Refuse requests to a node's endpoint whose target is no valid address

Cause: the endpoint's server reads the path of a request in the one task that owns all its connections. A target such as //[ raised an error there, which ended the task and the node with it. Change: such a target is refused with 400 and the connection closes.

--- a/monsoontray/http/connection.py
+++ b/monsoontray/http/connection.py
@@ -163,9 +163,13 @@
         head = self._head
         assert head is not None
         self._head = None
+        try:
+            url = urlsplit(head.target.decode("latin-1"))
+        except ValueError:  # not a valid address in the target
+            self.refuse(HTTPStatus.BAD_REQUEST)
+            return
         self.is_busy = True
         self._is_last = not head.keep_alive
-        url = urlsplit(head.target.decode("latin-1"))
         request = ServerRequest(
             unquote(url.path, "latin-1"), dict(parse_qsl(url.query)), self._body
         )
--- a/tests/test_http/test_server.py
+++ b/tests/test_http/test_server.py
@@ -129,3 +129,18 @@
     request = HttpRequest("GET", address, "/", now + 9, now + 9)
     assert HttpClient(CLOCK, 1).send(request).status == 500
     server.stop(CLOCK.now() + 5.0)
+
+
+def test_odd_targets_are_refused_and_end_no_task():
+    pool = WorkerPool("test", 1)
+    server = start_server(lambda request: ServerResponse(b"served"), pool)
+    (address,) = server.get_addresses()
+    for target in ("//[", "//a]b", "http://[x]/"):
+        with socket.create_connection((address.host, address.port), 5.0) as sock:
+            sock.settimeout(5.0)
+            sock.sendall(f"GET {target} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+            assert sock.recv(4_096).startswith(b"HTTP/1.1 400 "), target
+    now = CLOCK.now()
+    request = HttpRequest("GET", address, "/a", now + 9, now + 9)
+    assert HttpClient(CLOCK, 1).send(request).body == b"served"
+    server.stop(CLOCK.now() + 5.0)
