Send nothing of a request on once its client has given up

Cause: the system goes on sending the bytes of a closed connection. On a link that loses packets a usage report could arrive seconds after its deadline, behind one of the next holder, with a fencing token that is lower; so could a write to the store. Change: the blocking client discards what is unsent when it gives a request up. Result: the test's server received the rest before the change; now the connection is reset.

--- a/monsoontray/http/client.py
+++ b/monsoontray/http/client.py
@@ -4,6 +4,7 @@
 
 import select
 import socket
+import struct
 from typing import TYPE_CHECKING
 
 from msgspec import Struct
@@ -36,6 +37,7 @@
 MAX_RECEIVE_S = 10.0
 MIN_CONNECT_S = 0.001  # zero would mean that the socket does not block
 CONTENT_TYPE_LINE = b"content-type: application/json\r\n"
+_DISCARD_UNSENT = struct.pack("ii", 1, 0)  # linger for no time
 
 
 class HttpRequest(Struct, frozen=True):
@@ -77,7 +79,9 @@
         try:
             response, is_reusable = self._exchange(sock, request)
         except BaseException:
-            # A connection on which a response was lost delivers no later response.
+            # A connection on which a response was lost delivers no later response,
+            # and the system sends no part of the request again once nobody waits.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD_UNSENT)
             sock.close()
             raise
         if is_reusable:
--- a/tests/test_http/test_client.py
+++ b/tests/test_http/test_client.py
@@ -77,6 +77,16 @@
     return client.send(request)
 
 
+def receives_to_the_end(sock):
+    """Return whether the other side ends its half only after all its bytes."""
+    try:
+        while sock.recv(65_536):
+            pass
+    except ConnectionResetError:
+        return False
+    return True
+
+
 def test_connection_is_kept_for_the_next_request(client):
     server = ScriptedServer([OK], [OK[:20], OK[20:]])
     assert send(client, server).body == b"ok"
@@ -153,3 +163,18 @@
     with pytest.raises(InvalidResponseError):
         receiver.receive(chunk)
     assert not receiver.is_complete
+
+
+def test_request_that_nobody_waits_for_is_not_sent_any_further(client):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        address = Address("127.0.0.1", listener.getsockname()[1])
+        now = CLOCK.now()
+        body = bytes(1_000_000)
+        request = HttpRequest("POST", address, "/x", now + 0.3, now + 0.3, body)
+        with pytest.raises(ResponseTimeoutError):
+            client.send(request)
+        accepted, _ = listener.accept()
+        accepted.settimeout(5.0)
+        with accepted:
+            assert not receives_to_the_end(accepted)
