Let the soak withdraw keys, pass on the usage duty and restore the store

Change: two of five seeds have customers. Their configurations withdraw keys, of which callers go on using some; nodes report usage to a stand-in; the store comes back from a copy. Checked are that no call runs with a key withdrawn longer ago than the bound, one set of counts a window, and tokens of one node that only rise. Faults of other seeds, and those kept as regressions, stay as they were.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -40,6 +40,11 @@
     content: bytes = b""
 
 
+def build_key(number: int) -> str:
+    """Return a customer's key, the newest in the version with that number."""
+    return f"key-{number}"
+
+
 class Caller:
     """Thread that sends calls to a node over one connection, which it reopens."""
 
@@ -51,6 +56,7 @@
         seed: int,
         interval_s: float = CALL_INTERVAL_S,
         pipelines: bool = False,
+        has_keys: bool = False,
     ) -> None:
         self.outcomes: list[Outcome] = []
         self._node = node
@@ -59,6 +65,7 @@
         self._random = Random(seed)
         self._interval_s = interval_s
         self._pipelines = pipelines  # sends further reads before the first is answered
+        self._has_keys = has_keys
         self._stopped = threading.Event()
         self._router: Router | None = None
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -134,6 +141,10 @@
         if len(body) == UPLOAD_BYTES:
             headers["X_Body_Bytes"] = str(UPLOAD_BYTES)
             build = self._random.choice((build_mesh_request, build_chunked_request))
+        if self._has_keys and draw > 0.75:
+            key = max(1, self._latest_version[0] - self._random.randrange(4))
+            path = f"/keyed/{key}/{call_id}"
+            headers["Authorization"] = f"Bearer {build_key(key)}"
         request = build(path, call_id, method, body, **headers)
         outcome = self._begin_outcome(call_id, path, len(body), method == "POST")
         response = self._send_request(request)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 
 from bench.mesh import COLD_PER_S
 from bench.soak.callers import NO_RESPONSE, Outcome
+from bench.soak.usage import UsageReport
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 SEAL_PREFIX = "seal-of-"  # of a stand-in's seal; its name follows
@@ -16,6 +18,9 @@
 COLD_WINDOW_S = 1.0
 #: A response may be lost during a fault and for this time after its end.
 GRACE_S = 3.0
+KEY_WITHDRAWAL_S = 2.0  # time after which no call with a withdrawn key runs
+KEYED_PATH = "/keyed/"  # followed by the number of the key
+THAW_SLACK_S = 0.3  # in which a process that was paused may send what is outdated
 
 
 def check_outcomes(
@@ -99,6 +104,43 @@
     return violations
 
 
+def check_keys(
+    outcomes: Iterable[Outcome], runs: Counter[str], withdrawn_at: Mapping[int, float]
+) -> list[str]:
+    """Return the calls that ran although their key had been withdrawn in time."""
+    violations = []
+    for outcome in outcomes:
+        if outcome.path.startswith(KEYED_PATH) and runs[outcome.call_id]:
+            key = int(outcome.path.split("/")[2])
+            late_s = outcome.sent_at - withdrawn_at.get(key, math.inf)
+            if late_s > KEY_WITHDRAWAL_S:
+                violations.append(
+                    f"REVOKE: {outcome.call_id} ran {late_s:.2f} s after its key"
+                )
+    return violations
+
+
+def check_reports(
+    reports: Iterable[UsageReport], thawed_at: Iterable[float]
+) -> list[str]:
+    """Return second counts of a window, and tokens of two nodes or out of order."""
+    violations = []
+    thaws = tuple(thawed_at)
+    counts: dict[int, dict[str, int]] = {}
+    holders: dict[int, str] = {}
+    newest = 0
+    for report in reports:
+        if counts.setdefault(report.window, report.counts) != report.counts:
+            violations.append(f"ONE: window {report.window} has two sets of counts")
+        if holders.setdefault(report.token, report.holder) != report.holder:
+            violations.append(f"ONE: token {report.token} is of two nodes")
+        was_paused = any(0 <= report.at - each <= THAW_SLACK_S for each in thaws)
+        if report.token < newest and not was_paused:
+            violations.append(f"ONE: token {report.token} came after {newest}")
+        newest = max(newest, report.token)
+    return violations
+
+
 def _matches_call(outcome: Outcome) -> bool:
     server = outcome.seal.removeprefix(SEAL_PREFIX)
     content = f"{server} {outcome.path} {outcome.body_bytes}".encode()
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import time
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +19,7 @@
     PauseNode,
     PauseServer,
     PublishConfiguration,
+    RestoreStore,
     SendFatalRequests,
     SendOddHeartbeat,
     SetServerBehaviour,
@@ -81,6 +83,7 @@
 def _(action: PauseNode, soak: Soak, node: MeshNode) -> None:
     assert node.handle.process is not None
     node.handle.process.send_signal(signal.SIGCONT)
+    soak.thawed_at.append(time.monotonic())
 
 
 @begin_fault.register(KillServer)
@@ -198,3 +201,14 @@
 @finish_fault.register(EvacuateZone)
 def _(action: EvacuateZone, soak: Soak, node: MeshNode) -> None:
     soak.mesh.remove_key(f"op/evacuate/{node.handle.zone}")
+
+
+@begin_fault.register(RestoreStore)
+def _(action: RestoreStore, soak: Soak, node: MeshNode) -> None:
+    soak.set_store_behaviour(copy=True)
+
+
+@finish_fault.register(RestoreStore)
+def _(action: RestoreStore, soak: Soak, node: MeshNode) -> None:
+    soak.set_store_behaviour(restore=True)
+    soak.publish_configuration()  # the operator writes again what was lost
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -103,6 +103,11 @@
     """Order a zone to be evacuated; remove the order at the end of the fault."""
 
 
+@dataclass(slots=True, frozen=True)
+class RestoreStore:
+    """Let the store come back from the copy that it made when the fault began."""
+
+
 NODE_FAULTS: tuple[Any, ...] = (KillNode(), PauseNode(), StopNode())
 SERVER_FAULTS: tuple[Any, ...] = (
     KillServer(),
@@ -144,6 +149,14 @@
 #: Drawn apart from the others, for the seeds that leave this remainder.
 COLD_FAULT = KillBesideColdServer()
 COLD_INTERVAL, COLD_REMAINDER = 4, 2
+#: Drawn apart as well, for the seeds whose configurations have customers with keys.
+CUSTOMER_FAULTS: tuple[Any, ...] = (
+    PublishConfiguration(),
+    PublishConfiguration(),
+    PauseNode(),
+    RestoreStore(),
+)
+CUSTOMER_INTERVAL, CUSTOMER_REMAINDERS = 5, (1, 4)
 GROUPS = (NODE_FAULTS, SERVER_FAULTS, NETWORK_FAULTS, STORE_FAULTS, ORDERS, VM_FAULTS)
 #: Actions of regular operation: no call may be lost if only these happen.
 PLANNED_ACTIONS: tuple[Any, ...] = (StopNode(), DrainServer(), PublishConfiguration())
@@ -201,9 +214,30 @@
     ]
     if seed % COLD_INTERVAL == COLD_REMAINDER and seed % PLANNED_ONLY_INTERVAL:
         faults += _draw_cold_faults(seed, duration_s, nodes)
+    if has_customers(seed):
+        faults += _draw_customer_faults(seed, duration_s, nodes)
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
+def has_customers(seed: int) -> bool:
+    """Return whether the configurations of a seed have customers with keys."""
+    return seed % CUSTOMER_INTERVAL in CUSTOMER_REMAINDERS
+
+
+def _draw_customer_faults(seed: int, duration_s: float, nodes: int) -> list[SoakFault]:
+    random = Random(f"{seed} customers")
+    return [
+        SoakFault(
+            round(random.uniform(0.0, duration_s), 2),
+            round(random.uniform(MIN_FAULT_S, MAX_FAULT_S), 2),
+            action,
+            random.randrange(nodes),
+        )
+        for action in CUSTOMER_FAULTS
+        for _ in range(random.randint(1, 2))
+    ]
+
+
 def _draw_cold_faults(seed: int, duration_s: float, nodes: int) -> list[SoakFault]:
     """Return kills of nodes beside cold servers, which follow each other closely."""
     random = Random(f"{seed} cold")
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -27,12 +27,16 @@
     build_mesh_request,
     build_route,
 )
-from bench.soak.callers import CALL_INTERVAL_S, Caller
+from bench.soak.callers import CALL_INTERVAL_S, Caller, build_key
 from bench.soak.checks import (
     COLD_FACTOR,
     COLD_SLACK,
+    KEY_WITHDRAWAL_S,
+    KEYED_PATH,
     check_cold_servers,
+    check_keys,
     check_outcomes,
+    check_reports,
 )
 from bench.soak.faults import begin_fault, finish_fault
 from bench.soak.plan import (
@@ -42,10 +46,15 @@
     SoakFault,
     StopNode,
     draw_faults,
+    has_customers,
 )
+from bench.soak.usage import UsageReport, record_reports
 
 READ_ROUTE = build_route("/read/", "one")
 ORDER_ROUTE = build_route("/order/", "one", kind="non_idempotent")
+KEYED_ROUTE = build_route(KEYED_PATH, "one")
+KEPT_KEYS = 2  # of the latest versions; older ones are withdrawn
+USAGE_SETTINGS = {"usage_window_s": 1.0, "usage_late_s": 3.0, "usage_takeover_s": 2.0}
 USUAL_NODES = 6  # a larger fleet gets as many calls in all as one of this size
 CALLERS_PER_NODE = 2
 PIPELINING_CALLERS_PER_NODE = 1
@@ -83,6 +92,9 @@
     latest_version: list[int] = field(default_factory=lambda: [0])
     fault_periods: list[tuple[float, float]] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)  # seen by faults themselves
+    has_customers: bool = False
+    withdrawn_at: dict[int, float] = field(default_factory=dict)  # by number of the key
+    thawed_at: list[float] = field(default_factory=list)
     _instance_numbers: Iterator[int] = field(default_factory=count)
 
     @property
@@ -90,19 +102,22 @@
         """Return the file in which the back ends record the calls that they run."""
         return self.mesh.fleet.directory / "runs"
 
-    def start(self, nodes: int, read_by_all: int) -> None:
+    def start(self, nodes: int, read_by_all: int, usage_address: str) -> None:
         """Start the store, the proxy, the nodes and their servers."""
         fleet = self.mesh.fleet
         fleet.start_store()
         fleet.start_proxy()
         self.publish_configuration()
         for i in range(nodes):
-            settings = {
+            settings: dict[str, Any] = {
                 "read_by_all": read_by_all,
                 "stop_notice_ms": STOP_NOTICE_MS,
                 "cold_factor": COLD_FACTOR,
                 "cold_slack": COLD_SLACK,
             }
+            if self.has_customers:
+                settings["key_withdrawal_s"] = KEY_WITHDRAWAL_S
+                settings |= {"usage_address": usage_address, **USAGE_SETTINGS}
             zone = f"zone-{i % self.zones}"
             self.start_server(self.mesh.add_node(f"node-{i}", zone, "one", **settings))
         fleet.label_processes()
@@ -121,6 +136,7 @@
                 seed * 1000 + i,
                 interval_s,
                 pipelines=i >= CALLERS_PER_NODE,
+                has_keys=self.has_customers,
             )
             for node in self.mesh.nodes
             for i in range(CALLERS_PER_NODE + PIPELINING_CALLERS_PER_NODE)
@@ -234,10 +250,16 @@
         """
         number = self.latest_version[0] + 1
         routes = [build_route(f"/v{n + 1}/", "one") for n in range(number)]
-        self.mesh.write_key(
-            "op/config", build_configuration(number, READ_ROUTE, ORDER_ROUTE, *routes)
-        )
+        routes = [READ_ROUTE, ORDER_ROUTE, *routes]
+        configuration = build_configuration(number, *routes)
+        if self.has_customers:
+            routes = [{**route, "public": True} for route in routes]
+            configuration = build_configuration(number, *routes, KEYED_ROUTE)
+            keys = [build_key(number - n) for n in range(min(KEPT_KEYS, number))]
+            configuration["tenants"] = [{"name": "customer", "api_keys": keys}]
+        self.mesh.write_key("op/config", configuration)
         self.latest_version[0] = number
+        self.withdrawn_at[number - KEPT_KEYS] = time.monotonic()
 
     def set_store_behaviour(self, **behaviour: Any) -> None:
         """Replace the behaviour of the store."""
@@ -321,11 +343,12 @@
 ) -> SoakResult:
     """Run the soak of a seed and return its result."""
     faults = draw_faults(seed, duration_s, nodes)
-    with Fleet() as fleet:
-        soak = Soak(Mesh(fleet), min(zones, nodes))
+    reports: list[UsageReport] = []
+    with Fleet() as fleet, record_reports(reports) as usage_address:
+        soak = Soak(Mesh(fleet), min(zones, nodes), has_customers=has_customers(seed))
         # With even seeds the fleet is larger than ``read_by_all``, so that, as in a
         # large fleet, only a few nodes read the store and the others read from them.
-        soak.start(nodes, read_by_all=24 if seed % 2 else 2)
+        soak.start(nodes, 24 if seed % 2 else 2, usage_address)
         callers = soak.build_callers(seed)
         for caller in callers:
             caller.start()
@@ -343,6 +366,8 @@
     outcomes = [each for caller in callers for each in caller.outcomes]
     broken += check_outcomes(outcomes, runs, late_calls, soak.fault_periods)
     broken += check_cold_servers(outcomes, cold_arrivals)
+    broken += check_keys(outcomes, runs, soak.withdrawn_at)
+    broken += check_reports(reports, soak.thawed_at)
     served = sum(each.status == 200 for each in outcomes) / max(1, len(outcomes))
     return SoakResult(
         seed, broken, len(outcomes), round(served, 3), len(faults), fleet.directory
--- a/tests/test_bench/test_soak.py
+++ b/tests/test_bench/test_soak.py
@@ -8,9 +8,24 @@
 import pytest
 
 from bench.soak.callers import NO_RESPONSE, Outcome
-from bench.soak.checks import GRACE_S, check_cold_servers, check_outcomes
-from bench.soak.plan import COLD_FAULT, GROUPS, PLANNED_ONLY_INTERVAL, draw_faults
+from bench.soak.checks import (
+    GRACE_S,
+    KEY_WITHDRAWAL_S,
+    check_cold_servers,
+    check_keys,
+    check_outcomes,
+    check_reports,
+)
+from bench.soak.plan import (
+    COLD_FAULT,
+    CUSTOMER_FAULTS,
+    GROUPS,
+    PLANNED_ONLY_INTERVAL,
+    draw_faults,
+    has_customers,
+)
 from bench.soak.runner import read_runs, run_soak
+from bench.soak.usage import UsageReport
 
 #: Seeds that found a fault before at the usual size, each with a comment on its cause.
 REGRESSIONS: tuple[int, ...] = (
@@ -85,7 +100,9 @@
     planned = draw_faults(PLANNED_ONLY_INTERVAL, 15.0, 6)
     assert all(fault.is_planned for fault in planned)
     drawn = {f.action for seed in range(1, 60) for f in draw_faults(seed, 15.0, 6)}
-    assert drawn == {COLD_FAULT, *(action for group in GROUPS for action in group)}
+    usual = {action for group in GROUPS for action in group}
+    assert drawn == {COLD_FAULT, *CUSTOMER_FAULTS, *usual}
+    assert not any(map(has_customers, REGRESSIONS))
     # The other faults of a seed do not depend on these.
     assert all(COLD_FAULT not in {f.action for f in draw_faults(seed, 15.0, 6)}
                for seed in (*REGRESSIONS, 4))  # fmt: skip
@@ -109,6 +126,29 @@
     assert check_cold_servers(calls, late) == []
 
 
+def test_call_that_runs_long_after_its_key_was_withdrawn_is_reported():
+    keyed = replace(ORDER, path="/keyed/3/o1", sent_at=9.0)
+    in_time, late = 9.1 - KEY_WITHDRAWAL_S, 8.9 - KEY_WITHDRAWAL_S
+    assert check_keys([keyed], Counter(["o1"]), {3: in_time}) == []
+    assert check_keys([keyed], Counter(), {3: late}) == []
+    assert check_keys([keyed], Counter(["o1"]), {4: late}) == []
+    (found,) = check_keys([keyed], Counter(["o1"]), {3: late})
+    assert found.startswith("REVOKE: o1")
+
+
+def test_second_counts_and_tokens_out_of_order_are_reported():
+    first = UsageReport(1.0, "node-0", 4, 7, {"a": 1})
+    assert check_reports([first, first, replace(first, token=5, holder="b")], []) == []
+    (found,) = check_reports([first, replace(first, counts={"a": 2})], [])
+    assert found == "ONE: window 7 has two sets of counts"
+    (found,) = check_reports([first, replace(first, holder="node-1")], [])
+    assert found == "ONE: token 4 is of two nodes"
+    older = replace(first, at=2.0, token=3)
+    assert check_reports([first, older], []) == ["ONE: token 3 came after 4"]
+    assert check_reports([first, older], [1.8]) == []
+    assert len(check_reports([first, older], [1.6])) == 1
+
+
 @pytest.mark.parametrize("seed", REGRESSIONS)
 def test_soak_that_found_a_fault_violates_no_rule(seed):
     result = run_soak(seed)
