--- a/monsoontray/decisions/duty.py
+++ b/monsoontray/decisions/duty.py
@@ -8,17 +8,22 @@
 import math
 from functools import singledispatch
 from random import Random
-from typing import Annotated, Any
+from typing import Any
 
-from msgspec import Meta, Struct
 from msgspec.structs import replace
 
-from monsoontray.decoding.values import (
-    Bytes,
-    Name,
-    SequenceNumber,
-    SocketAddress,
-    Token,
+from monsoontray.decisions.duty_steps import (
+    ClaimDuty,
+    DutyRead,
+    GrantLease,
+    Holder,
+    Ledger,
+    ReadDuty,
+    RecordWindow,
+    RenewLease,
+    ReportAccepted,
+    SendReport,
+    WindowUsage,
 )
 from monsoontray.store.outcomes import Cause, Conflict, Done, Lease, NotDone, Unknown
 
@@ -40,90 +45,6 @@
 RECHECK_S = 30.0
 
 
-class WindowUsage(Struct, frozen=True):
-    """The counts that were recorded for a window."""
-
-    window: SequenceNumber
-    counts: dict[Name, Bytes]
-
-
-class Ledger(Struct, frozen=True):
-    """What was decided, whoever held the duty; kept without a lease."""
-
-    token: SequenceNumber = 0  # given out last
-    recorded: SequenceNumber = 0  # newest window whose counts are decided
-    windows: Annotated[tuple[WindowUsage, ...], Meta(max_length=16)] = ()
-    era: SequenceNumber = 0  # of the store, when the newest window was recorded
-
-
-class Holder(Struct, frozen=True):
-    """The node that holds the duty, as stored under its lease."""
-
-    node: Name
-    address: SocketAddress  # at which nodes tell their counts
-    token: SequenceNumber
-    lease_id: Token
-
-
-class ReadDuty(Struct, frozen=True):
-    """Step: read the holder and the ledger."""
-
-
-class DutyRead(Struct, frozen=True):
-    """Outcome of a read; a revision of 0 means that there is no record."""
-
-    holder: Holder | None
-    holder_revision: int
-    ledger: Ledger
-    ledger_revision: int
-
-
-class GrantLease(Struct, frozen=True):
-    """Step: obtain a lease to claim the duty with."""
-
-    lifetime_s: float
-
-
-class ClaimDuty(Struct, frozen=True):
-    """Step: write holder and ledger if there is no holder and the ledger is known."""
-
-    holder: Holder
-    ledger: Ledger
-    ledger_revision: int
-
-
-class RenewLease(Struct, frozen=True):
-    """Step: renew the lease of the duty."""
-
-    lease_id: str
-    lifetime_s: float
-
-
-class RecordWindow(Struct, frozen=True):
-    """Step: write the ledger if holder and ledger are as they are known."""
-
-    ledger: Ledger
-    holder_revision: int
-    ledger_revision: int
-
-
-class SendReport(Struct, frozen=True):
-    """Step: send a recorded window, unless the deadline has passed."""
-
-    usage: WindowUsage
-    node: str
-    token: int
-    deadline: float
-
-
-class ReportAccepted(Struct, frozen=True):
-    """Outcome of a send that the platform has accepted."""
-
-
-class ReportFailed(Struct, frozen=True):
-    """Outcome of a send that failed or whose answer was lost."""
-
-
 class Duty:
     """State of this node's part in the duty."""
 
--- a/monsoontray/platform/usage.py
+++ b/monsoontray/platform/usage.py
@@ -10,7 +10,7 @@
 from monsoontray.http.client import HttpRequest
 
 if TYPE_CHECKING:
-    from monsoontray.decisions.duty import SendReport
+    from monsoontray.decisions.duty_steps import SendReport
     from monsoontray.settings.settings import Address
 
 
--- a/monsoontray/usage/duty.py
+++ b/monsoontray/usage/duty.py
@@ -7,9 +7,9 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from monsoontray.decisions.duty import (
+from monsoontray.decisions.duty import Duty
+from monsoontray.decisions.duty_steps import (
     ClaimDuty,
-    Duty,
     DutyRead,
     GrantLease,
     Ledger,
@@ -51,7 +51,7 @@
     from collections.abc import Sequence
 
     from monsoontray.decisions.directory import ListedNode
-    from monsoontray.decisions.duty import Holder
+    from monsoontray.decisions.duty_steps import Holder
     from monsoontray.settings.settings import Settings
     from monsoontray.store.client import StoreClient
     from monsoontray.store.outcomes import Record
--- a/monsoontray/usage/encoding.py
+++ b/monsoontray/usage/encoding.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from monsoontray.decisions.duty import Holder, Ledger
+from monsoontray.decisions.duty_steps import Holder, Ledger
 from monsoontray.decisions.usage import MAX_CUSTOMERS, MAX_WINDOWS, NodeUsage
 from monsoontray.decoding.documents import decode_json, decode_msgpack
 from monsoontray.decoding.values import Name, SequenceNumber, Timestamp
--- a/monsoontray/usage/messages.py
+++ b/monsoontray/usage/messages.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from monsoontray.decisions.duty import Holder
+from monsoontray.decisions.duty_steps import Holder
 from monsoontray.decisions.usage import Counts
 from monsoontray.kernel.mailbox import Reply
 
--- a/monsoontray/usage/service.py
+++ b/monsoontray/usage/service.py
@@ -36,7 +36,7 @@
 from monsoontray.usage.telling import Teller
 
 if TYPE_CHECKING:
-    from monsoontray.decisions.duty import Holder
+    from monsoontray.decisions.duty_steps import Holder
     from monsoontray.kernel.timers import Timer
     from monsoontray.settings.settings import Settings
 
--- a/monsoontray/usage/telling.py
+++ b/monsoontray/usage/telling.py
@@ -21,7 +21,7 @@
     from random import Random
 
     from monsoontray.decisions.directory import ListedNode
-    from monsoontray.decisions.duty import Holder
+    from monsoontray.decisions.duty_steps import Holder
     from monsoontray.http.client import HttpResponse
     from monsoontray.kernel.mailbox import Reply
     from monsoontray.kernel.sockets import SocketTask
--- a/tests/test_decisions/test_duty_model.py
+++ b/tests/test_decisions/test_duty_model.py
@@ -8,9 +8,9 @@
 import pytest
 
 from monsoontray.decisions import duty as module
-from monsoontray.decisions.duty import (
+from monsoontray.decisions.duty import Duty
+from monsoontray.decisions.duty_steps import (
     ClaimDuty,
-    Duty,
     DutyRead,
     GrantLease,
     Ledger,
--- a/tests/test_usage/test_service.py
+++ b/tests/test_usage/test_service.py
@@ -7,7 +7,7 @@
 import pytest
 
 from monsoontray.decisions.directory import ListedNode
-from monsoontray.decisions.duty import Holder
+from monsoontray.decisions.duty_steps import Holder
 from monsoontray.http.client import HttpResponse
 from monsoontray.kernel.timers import Timers
 from monsoontray.usage import telling as module
