Prove no key by a copy of the store that may lack its withdrawal

Cause: a store that comes back from a copy has positions of a later era, which count as newer. Its configuration may lack a key's withdrawal that was acknowledged before; a node that had been cut off took the copy's configuration as proven.

--- a/monsoontray/decisions/freshness.py
+++ b/monsoontray/decisions/freshness.py
@@ -8,9 +8,18 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 from msgspec import Struct
 
+from monsoontray.decisions.evacuations import REWRITE_S
+from monsoontray.store.eras import get_era
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from monsoontray.store.outcomes import Record
+
 #: Share of the bound that a proof lasts; the rest is for clocks that run apart.
 LIFETIME_SHARE = 0.95
 #: Share of a proof's lifetime after which a node hurries to get another one.
@@ -75,6 +84,37 @@
         return self.is_bounded and now - self._proven_at > share * self._bound_s
 
 
+class Rewriting:
+    """Whether the operator may still write again what a copy of the store lacks.
+
+    Until then, the copy's configuration may have a key that was withdrawn before.
+    """
+
+    __slots__ = ("_begun_at", "_era", "_written_at")
+
+    def __init__(self) -> None:
+        self._era: int | None = None  # None until the store was read
+        self._begun_at = -math.inf  # when the latest era was first seen
+        self._written_at = 0  # position of the copy's configuration
+
+    def see(
+        self, position: int, records: Iterable[Record], key: str, now: float
+    ) -> None:
+        """Take the store's position and what was read; the configuration has a key."""
+        era = get_era(position)
+        written_at = max((r.revision for r in records if r.key == key), default=0)
+        if self._era is None:
+            self._era = era
+        if era > self._era:
+            self._era, self._begun_at, self._written_at = era, now, written_at
+        elif written_at > self._written_at:
+            self._begun_at = -math.inf
+
+    def is_over(self, now: float) -> bool:
+        """Return whether the configuration has what the operator had written."""
+        return now - self._begun_at > REWRITE_S
+
+
 def compute_lead(proof: Proof, received_at: float) -> float:
     """Return by how many seconds a proof is later than a request that asks for it."""
     return proof.at - received_at
--- a/monsoontray/platform/operator.py
+++ b/monsoontray/platform/operator.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from monsoontray.decisions.evacuations import Evacuations
+from monsoontray.decisions.freshness import Rewriting
 from monsoontray.decisions.routing import RouteTable
 from monsoontray.decoding.documents import decode_json
 from monsoontray.decoding.errors import DecodingError
@@ -54,6 +55,7 @@
         self._version = 0
         self._evacuated_zones: frozenset[str] = frozenset()
         self._evacuations = Evacuations()
+        self.rewriting = Rewriting()
 
     def find_next_deadline(self) -> float | None:
         """Return when an evacuation ends that was not ordered again."""
@@ -149,18 +151,23 @@
 
 @handle_message.register(StoreListed)
 def _(message: StoreListed, orders: OperatorOrders) -> None:
+    now = orders.clock.now()
+    orders.rewriting.see(message.revision, message.records, CONFIG_KEY, now)
     orders.handle_listing(message.records, message.revision)
 
 
 @handle_message.register(StoreChanged)
 def _(message: StoreChanged, orders: OperatorOrders) -> None:
+    now = orders.clock.now()
+    orders.rewriting.see(message.revision, message.records, CONFIG_KEY, now)
     orders.handle_changes(message)
 
 
 @handle_message.register(StoreProven)
 def _(message: StoreProven, orders: OperatorOrders) -> None:
     # The orders that the proof covers were posted before.
-    orders.kernel.post("forwarding", RoutesProven(message.proof))
+    if orders.rewriting.is_over(orders.clock.now()):
+        orders.kernel.post("forwarding", RoutesProven(message.proof))
 
 
 def setup(kernel: Kernel) -> None:
--- a/tests/test_store/test_copies.py
+++ b/tests/test_store/test_copies.py
@@ -12,12 +12,14 @@
 from monsoontray.containment.service import ContainmentService
 from monsoontray.containment.service import handle_message as handle_containment
 from monsoontray.decisions.evacuations import REWRITE_S
+from monsoontray.decisions.freshness import Proof
 from monsoontray.decisions.rollouts import FINAL_PHASES, Phase
 from monsoontray.discovery.messages import (
     PublishDepartures,
     PublishNode,
     StoreChanged,
     StoreListed,
+    StoreProven,
 )
 from monsoontray.discovery.publisher import Publisher
 from monsoontray.discovery.publisher import handle_message as handle_publisher
@@ -98,6 +100,38 @@
     assert [update.table.number for update in updates] == [4]
 
 
+def prove(kernel, orders, revision):
+    """Return whether a proof reaches what takes keys."""
+    kernel.posted.pop("forwarding", None)
+    handle_operator(StoreProven(Proof(kernel.clock.now(), revision)), orders)
+    return bool(kernel.posted.pop("forwarding", None))
+
+
+@pytest.mark.parametrize("message_type", [StoreListed, StoreChanged])
+def test_copy_proves_nothing_until_the_operator_may_have_written_again(
+    kernel, message_type
+):
+    def read(message_type, number, revision):
+        value = msgspec.json.encode(build_configuration(number, READ_ROUTE))
+        records = (Record("op/config", revision, value),)
+        parts = (records, ()) if message_type is StoreChanged else (records,)
+        handle_operator(message_type(*parts, revision), orders)
+
+    orders = OperatorOrders(kernel)
+    read(StoreListed, 4, 9)
+    assert prove(kernel, orders, 9)
+    copied = build_position(1, 8)
+    read(message_type, 4, copied)
+    read(StoreListed, 4, copied)
+    assert not prove(kernel, orders, copied)
+    kernel.clock.advance(REWRITE_S + 0.1)
+    assert prove(kernel, orders, copied)
+    read(message_type, 4, build_position(2, 8))
+    assert not prove(kernel, orders, build_position(2, 8))
+    read(StoreChanged, 5, build_position(2, 9))
+    assert prove(kernel, orders, build_position(2, 9))
+
+
 def test_departures_and_the_node_are_written_again(kernel):
     publisher = Publisher(kernel)
     handle_publisher(PublishNode(b"me"), publisher)
