Answer requests that may have run when their connection is given up

Cause: with too much held, a connection whose request a server may have run was closed without an answer: its client can't tell that from a fault of the network, and a request that was passed on has to be answered. Change: such a request is refused as perhaps run (502), and the connection closes behind it. Only one whose client reads nothing or whose response has begun is closed at once. Result: the tests of requests that may have run failed before the change and pass now.

--- a/monsoontray/forwarding/holdings.py
+++ b/monsoontray/forwarding/holdings.py
@@ -34,23 +34,23 @@
 
 
 def give_up(caller: CallerConnection) -> None:
-    """Refuse the requests that no server got, or close the connection."""
+    """Refuse the requests, or close the connection if no answer can be sent."""
     if caller.closed:
         return
     calls = _find_calls(caller)
     # Nothing can be told behind a response that the caller doesn't read.
     is_silent = caller.is_lingering or caller.unsent_bytes or not _has_request(caller)
     is_answered = caller.transactions and not calls
-    if is_silent or is_answered or any(call.may_have_run for call in calls):
+    if is_silent or is_answered or any(call.response_started for call in calls):
         caller.on_connection_lost()
         return
-    refusal = refuse_not_run(Reason.TOO_MUCH_HELD)
     if not calls:
-        caller.refuse_connection(refusal)
+        caller.refuse_connection(refuse_not_run(Reason.TOO_MUCH_HELD))
         return
     caller.transactions[-1].closes_connection = True
     for call in calls:
-        call.refuse(refusal)
+        call.record_unfinished()
+        call.refuse(call.build_refusal(Reason.TOO_MUCH_HELD))
 
 
 def _find_wait(caller: CallerConnection) -> Wait:
