--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -231,7 +231,8 @@
             round(random.uniform(0.0, duration_s), 2),
             round(random.uniform(MIN_FAULT_S, MAX_FAULT_S), 2),
             action,
-            random.randrange(nodes),
+            # The store has one copy at a time, whichever node is named.
+            0 if action == RestoreStore() else random.randrange(nodes),
         )
         for action in CUSTOMER_FAULTS
         for _ in range(random.randint(1, 2))
