--- a/monsoontray/decoding/documents.py
+++ b/monsoontray/decoding/documents.py
@@ -25,6 +25,14 @@
     return _decode(_get_json_decoder(schema), data)
 
 
+def find_json(data: bytes, schema: Any) -> Any:
+    """Return a decoded JSON document, or None if it is not valid."""
+    try:
+        return decode_json(data, schema)
+    except DecodingError:
+        return None
+
+
 def decode_msgpack(data: bytes, schema: Any) -> Any:
     """Return a MessagePack document as its schema; raise DecodingError."""
     return _decode(_get_msgpack_decoder(schema), data)
--- a/monsoontray/platform/store.py
+++ b/monsoontray/platform/store.py
@@ -9,8 +9,7 @@
 
 import msgspec
 
-from monsoontray.decoding.documents import decode_json
-from monsoontray.decoding.errors import DecodingError
+from monsoontray.decoding.documents import find_json
 from monsoontray.decoding.values import Revision, Seconds, SequenceNumber
 from monsoontray.http.client import HttpClient, HttpRequest, HttpResponse
 from monsoontray.http.errors import RequestError
@@ -126,11 +125,11 @@
         if isinstance(response, NotDone):
             return response
         if response.status == 404:
-            absent = _decode(response, AbsentSchema)
+            absent = find_json(response.body, AbsentSchema)
             if absent is not None:
                 self._absence_revisions[key] = absent.as_of
             return Record(key, ABSENT, b"")
-        item = _decode(response, ItemSchema)
+        item = find_json(response.body, ItemSchema)
         record = None if item is None else _build_record(item)
         return NotDone(Cause.BAD_RESPONSE) if record is None else record
 
@@ -146,7 +145,7 @@
             response = self._send_get("listing", "/kv-range", query, self._timeout_s)
             if isinstance(response, NotDone):
                 return response
-            page = _decode(response, PageSchema)
+            page = find_json(response.body, PageSchema)
             if page is None:
                 return NotDone(Cause.BAD_RESPONSE)
             # Pages are read at different revisions. A watch from the first page's
@@ -169,7 +168,7 @@
             return response
         if response.status == _COMPACTED:
             return Compacted()
-        changes = _decode(response, EventsSchema)
+        changes = find_json(response.body, EventsSchema)
         if changes is None:
             return NotDone(Cause.BAD_RESPONSE)
         written = tuple(
@@ -213,12 +212,12 @@
         if response.status == _LEASE_NOT_FOUND:
             return NotDone(Cause.LEASE_EXPIRED)
         if response.status == _PRECONDITION_FAILED:
-            conflict = _decode(response, ConflictSchema)
+            conflict = find_json(response.body, ConflictSchema)
             if conflict is None:
                 return Unknown(Cause.BAD_RESPONSE)
             current = max((item.revision for item in conflict.items), default=ABSENT)
             return Conflict(current)
-        result = _decode(response, RevisionSchema)
+        result = find_json(response.body, RevisionSchema)
         return Unknown(Cause.BAD_RESPONSE) if result is None else Done(result.revision)
 
     def grant_lease(self, lifetime_s: float) -> LeaseOutcome:
@@ -253,7 +252,7 @@
             return response
         if response.status == _LEASE_NOT_FOUND:
             return NotDone(Cause.LEASE_EXPIRED)
-        granted = _decode(response, LeaseSchema)
+        granted = find_json(response.body, LeaseSchema)
         if granted is None:
             return Unknown(Cause.BAD_RESPONSE)
         return Lease(lease_id or str(granted.lease), requested_at + granted.ttl_s_time)
@@ -311,10 +310,3 @@
     """Return the valid records; skip invalid ones, which another writer may store."""
     decoded = [_build_record(item) for item in items]
     return [record for record in decoded if record is not None]
-
-
-def _decode(response: HttpResponse, schema: Any) -> Any:
-    try:
-        return decode_json(response.body, schema)
-    except DecodingError:
-        return None
