--- a/review/standins2/backend.py
+++ b/review/standins2/backend.py
@@ -42,6 +42,7 @@
         self.queue_length = 24
         self.work_s = 0.05
         self.answer_bytes = 0  # least size of an answer's body
+        self.answer_sizes: dict[str, int] = {}  # the same by target
         self.bad_share = 0.0  # of the requests that are run and answered with 500
         self.state = "ready"
         self.beat_interval_s = BEAT_INTERVAL_S
@@ -166,7 +167,8 @@
             return False
         is_bad = self._random.random() < self.bad_share
         status = "500 Internal Server Error" if is_bad else "200 OK"
-        body = f"{self.name} ran {request_id}".encode().ljust(self.answer_bytes, b".")
+        size = self.answer_sizes.get(request.target, self.answer_bytes)
+        body = f"{self.name} ran {request_id}".encode().ljust(size, b".")
         answer = {
             "X-Request-Id": request_id,
             "X-Response-Seal": f"seal-{self.name}-{request_id}",
