Find ends of servers that do not show at once

Servers that lost connections are asked for new ones for 3.7 s, and servers that leave requests unanswered and have been silent for 0.5 s are asked too. Checks are counted by outcome; the log tells what was found and after which time an end was recorded.

On the code before, three forms of test_server_that_ends_a_little_later_than_its_connections_has_ended and test_refused_connection_after_unanswered_requests_is_the_end_of_the_server failed.

--- a/monsoontray/forwarding/call.py
+++ b/monsoontray/forwarding/call.py
@@ -55,7 +55,6 @@
         "_attempt_timer",
         "_awaits_fingerprint",
         "_deadline_timer",
-        "_slot_granted_at",
         "answer_bytes",
         "attempts",
         "buffered_response",
@@ -72,6 +71,7 @@
         "response_started",
         "route",
         "server",
+        "slot_granted_at",
         "started_at",
         "transaction",
         "usage_window",
@@ -120,7 +120,7 @@
         self._attempt_started_at = self.started_at
         self.expected_s = 0.0  # estimated duration of the current attempt
         self._attempt_timer: Timer | None = None
-        self._slot_granted_at = 0.0
+        self.slot_granted_at = 0.0  # when the current attempt got its slot
         self.is_active = True  # has not ended
         #: An attempt starts when enough of the body has been received.
         self._awaits_fingerprint = False
@@ -186,7 +186,7 @@
     def hold_slot(self, guard: GuardState) -> None:
         """Record that the call holds a slot of a local backend server."""
         self.guard = guard
-        self._slot_granted_at = self.now
+        self.slot_granted_at = self.now
 
     def send_to(self, hop: Hop) -> None:
         """Send the request over a connection to a guard or a back end.
@@ -351,7 +351,7 @@
             self.forwarder.loads.record_outcome(self.server, failed)
         guard = self.guard
         if guard is not None:
-            seconds = self.now - self._slot_granted_at
+            seconds = self.now - self.slot_granted_at
             guard.record_result(seconds, failed, self.route.name)
             if not failed:
                 guard.observe_capacity(self, self.route.name, seconds, self.now)
@@ -362,7 +362,7 @@
         guard = self.guard
         if guard is not None and self.request.may_run:
             self.forwarder.containment.record_abandoned(self, guard)
-            seconds = self.now - self._slot_granted_at
+            seconds = self.now - self.slot_granted_at
             self.forwarder.guards.record_unfinished(guard, self.route.name, seconds)
 
     def handle_guard_refusal(self, refusal: Refusal) -> None:
--- a/monsoontray/forwarding/containment.py
+++ b/monsoontray/forwarding/containment.py
@@ -23,7 +23,7 @@
 from monsoontray.logs import logger
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
     from monsoontray.containment.messages import UpdateContainment
     from monsoontray.decisions.guard import GuardState
@@ -35,7 +35,11 @@
 #: which the other connections are lost too.
 GATHERING_S = 0.02
 #: Times between the checks whether a server accepts connections after it lost some.
-CHECK_DELAYS_S = (0.02, 0.2)
+#: What is between a node and its server may accept some for a while after its end.
+CHECK_DELAYS_S = (0.02, 0.2, 0.5, 1.0, 2.0)
+#: Time without a response after which a server that leaves requests unanswered is
+#: checked although its connections are open, and time until the next such check.
+SILENCE_S = 0.5
 #: Time after which unanswered requests no longer count as lost by the end of their
 #: server, if that shows only when the server is replaced by a new incarnation.
 LOSS_MEMORY_S = 15.0
@@ -44,17 +48,20 @@
 #: many bodies may be kept beyond the usual limit at a time.
 MAX_HELD_BYTES = 4_194_304
 MAX_LONG_HELD = 4
+_MS_PER_S = 1000
 MAX_ENDED = 64  # servers whose ends are remembered; the oldest are forgotten
 
 
 class Losses:
     """Requests that one incarnation of a server received and did not answer."""
 
-    __slots__ = ("_lost_at", "born", "is_being_checked")
+    __slots__ = ("_lost_at", "born", "first_at", "is_being_checked", "next_check_at")
 
-    def __init__(self, born: int) -> None:
+    def __init__(self, born: int, now: float) -> None:
         self.born = born
+        self.first_at = now  # when the first request was lost
         self.is_being_checked = False  # whether the server still accepts connections
+        self.next_check_at = now  # if no connection is lost before
         self._lost_at: dict[str, float] = {}  # by fingerprint
 
     def add(self, fingerprint: str, now: float) -> None:
@@ -68,6 +75,10 @@
         oldest = max(last_response_at, now - LOSS_MEMORY_S)
         return [each for each, at in self._lost_at.items() if at >= oldest]
 
+    def find_earliest(self, fingerprints: Iterable[str]) -> float:
+        """Return when the first of some requests was lost."""
+        return min(self._lost_at[each] for each in fingerprints)
+
 
 class RequestContainment:
     """Observer of ended servers and of what they ran; part of the forwarding task."""
@@ -204,9 +215,19 @@
     def record_abandoned(self, call: Call, guard: GuardState) -> None:
         """Record that a call ended before a local server answered it.
 
-        The server may have ended without closing its connections.
+        The server may have ended without closing its connections, so that it is checked
+        if it has sent no response for some time.
         """
-        self._add_loss(call, guard)
+        losses = self._add_loss(call, guard)
+        now = self._forwarder.now
+        if losses is None or losses.is_being_checked or losses.next_check_at > now:
+            return
+        waits_since = min(call.slot_granted_at, losses.first_at)
+        if now - max(waits_since, guard.last_response_at) < SILENCE_S:
+            return
+        losses.next_check_at = now + SILENCE_S
+        losses.is_being_checked = True
+        self._check(guard.record.server, losses, ())
 
     def update_servers(self, records: Collection[ServerRecord]) -> None:
         """Record the ends of servers that were replaced by a new incarnation."""
@@ -247,7 +268,8 @@
             return None
         losses = self._losses.get(record.server)
         if losses is None or losses.born != record.born:
-            losses = self._losses[record.server] = Losses(record.born)
+            now = self._forwarder.now
+            losses = self._losses[record.server] = Losses(record.born, now)
         losses.add(fingerprint, self._forwarder.now)
         return losses
 
@@ -274,6 +296,7 @@
         outcome: ConnectOutcome,
     ) -> None:
         now, timers = self._forwarder.now, self._forwarder.timers
+        self._forwarder.metrics.count_server_check(outcome.value)
         if outcome is ConnectOutcome.REFUSED:
             timers.add(now + GATHERING_S, partial(self._record_end, server, losses))
         elif later_delays_s:
@@ -282,6 +305,11 @@
             timers.add(now + delay_s, check)
         else:
             losses.is_being_checked = False
+            logger.bind(
+                server=server,
+                outcome=outcome.value,
+                lost=",".join(self._select_lost(server, losses)),
+            ).info("local server left requests unanswered but may not have ended")
 
     def _select_lost(self, server: str, losses: Losses) -> list[str]:
         """Return the requests since whose loss a server has sent no response."""
@@ -301,6 +329,7 @@
         self._ended[server] = losses.born
         if len(self._ended) > MAX_ENDED:
             del self._ended[next(iter(self._ended))]
+        delay_s = self._forwarder.now - losses.find_earliest(lost)
         candidates = self._containment.select_candidates(lost)
         end = ServerEnd(server, losses.born, candidates)
         self._forwarder.metrics.count_server_end()
@@ -310,6 +339,7 @@
             born=losses.born,
             lost=",".join(lost),
             candidates=",".join(candidates),
+            after_ms=round(delay_s * _MS_PER_S),
         ).warning("local server ended while it ran requests")
 
     def _report_clearance(self, clearance: Clearance) -> None:
--- a/monsoontray/metrics/service.py
+++ b/monsoontray/metrics/service.py
@@ -89,6 +89,12 @@
             "Ends of local servers that were running requests",
             registry=self.registry,
         )
+        self._server_checks = Counter(
+            "monsoontray_server_checks",
+            "Checks whether a local server with lost requests has ended, by outcome",
+            ("outcome",),
+            registry=self.registry,
+        )
         self._store_calls = Counter(
             "monsoontray_store_calls",
             "Calls to the store, by kind and by what they were made for",
@@ -194,6 +200,10 @@
         """Count the end of a local server that was running requests."""
         self._server_ends.inc()
 
+    def count_server_check(self, outcome: str) -> None:
+        """Count a check whether a local server has ended."""
+        self._server_checks.labels(outcome).inc()
+
     def count_store_call(self, reason: str, kind: str) -> None:
         """Count a call to the store, whatever its outcome."""
         self._store_calls.labels(kind, reason).inc()
--- a/tests/test_forwarding/test_containment.py
+++ b/tests/test_forwarding/test_containment.py
@@ -19,6 +19,7 @@
     LOSS_MEMORY_S,
     MAX_HELD_BYTES,
     MAX_LONG_HELD,
+    SILENCE_S,
     RequestContainment,
 )
 from monsoontray.forwarding.upstream import ConnectOutcome
@@ -55,6 +56,9 @@
     def count_server_end(self):
         pass
 
+    def count_server_check(self, outcome):
+        pass
+
     def set_contained(self, count):
         self.contained = count
 
@@ -87,6 +91,7 @@
         self.is_active = True
         self.guard = None
         self.server = ""
+        self.slot_granted_at = 99.0
         self.refusals = []
         self.awaits_fingerprint = False
 
@@ -156,14 +161,20 @@
     assert forwarder.get_ends() == []
 
 
+# BUDGET: an end that showed more than 0.2 s late was known only once the server had
+# come back, when it could get the request again.
+@pytest.mark.parametrize("checks", range(1, 1 + len(CHECK_DELAYS_S)))
 def test_server_that_ends_a_little_later_than_its_connections_has_ended(
-    forwarder, containment
+    forwarder, containment, checks
 ):
     lose(containment, forwarder, FIRST)
-    forwarder.checks.pop()(ConnectOutcome.CONNECTED)
     lose(containment, forwarder, SECOND)
-    assert forwarder.checks == []
-    forwarder.advance(CHECK_DELAYS_S[0])
+    for delay_s in CHECK_DELAYS_S[:checks]:
+        (check,) = forwarder.checks
+        forwarder.checks.clear()
+        check(ConnectOutcome.CONNECTED)
+        assert forwarder.checks == []
+        forwarder.advance(delay_s)
     forwarder.checks.pop()(ConnectOutcome.REFUSED)
     forwarder.advance(GATHERING_S)
     assert forwarder.get_ends() == [ServerEnd("i-1", 7, (FIRST, SECOND))]
@@ -177,7 +188,7 @@
     while forwarder.checks:
         forwarder.checks.pop()(ConnectOutcome.CONNECTED)
         checks += 1
-        forwarder.advance(1.0)
+        forwarder.advance(max(CHECK_DELAYS_S))
     assert checks == 1 + len(CHECK_DELAYS_S)
 
 
@@ -200,6 +211,39 @@
     assert forwarder.get_ends() == [ServerEnd("i-1", 7, (FIRST,))]
 
 
+# BUDGET: where the connections of an ended server stayed open without a reset, its end
+# was known only once it had come back, when it could get the request again.
+def test_refused_connection_after_unanswered_requests_is_the_end_of_the_server(
+    forwarder, containment
+):
+    containment.record_abandoned(FakeCall(FIRST), forwarder.guard)
+    (check,) = forwarder.checks
+    check(ConnectOutcome.REFUSED)
+    forwarder.advance(GATHERING_S)
+    assert forwarder.get_ends() == [ServerEnd("i-1", 7, (FIRST,))]
+
+
+def test_server_without_a_response_is_checked_once_in_a_while(forwarder, containment):
+    for _ in range(20):
+        containment.record_abandoned(FakeCall(FIRST), forwarder.guard)
+        if forwarder.checks:
+            forwarder.checks[-1](ConnectOutcome.CONNECTED)
+        forwarder.advance(SILENCE_S / 4)
+    assert len(forwarder.checks) == 5
+    assert forwarder.get_ends() == []
+
+
+@pytest.mark.parametrize(("responded_at", "granted_at"), [(99.8, 99.0), (90.0, 99.8)])
+def test_server_that_is_silent_for_a_moment_is_not_checked(
+    forwarder, containment, responded_at, granted_at
+):
+    forwarder.guard.last_response_at = responded_at
+    call = FakeCall(FIRST)
+    call.slot_granted_at = granted_at
+    containment.record_abandoned(call, forwarder.guard)
+    assert forwarder.checks == []
+
+
 def test_leaving_server_and_abandoned_calls_long_ago_are_no_evidence(
     forwarder, containment
 ):
