--- a/monsoontray/forwarding/containment.py
+++ b/monsoontray/forwarding/containment.py
@@ -48,8 +48,8 @@
 #: many bodies may be kept beyond the usual limit at a time.
 MAX_HELD_BYTES = 4_194_304
 MAX_LONG_HELD = 4
-_MS_PER_S = 1000
 MAX_ENDED = 64  # servers whose ends are remembered; the oldest are forgotten
+_MS_PER_S = 1000
 
 
 class Losses:
@@ -266,11 +266,11 @@
             call.request.may_run and is_unanswered and fingerprint
         ):
             return None
+        now = self._forwarder.now
         losses = self._losses.get(record.server)
         if losses is None or losses.born != record.born:
-            now = self._forwarder.now
             losses = self._losses[record.server] = Losses(record.born, now)
-        losses.add(fingerprint, self._forwarder.now)
+        losses.add(fingerprint, now)
         return losses
 
     def _check(
--- a/monsoontray/forwarding/windows.py
+++ b/monsoontray/forwarding/windows.py
@@ -34,7 +34,7 @@
 
     unacknowledged: int  # segments that were transmitted
     unsent: int  # bytes for which the peer's window has no room yet
-    backoff: int  # how often a timeout of the system has run out in a row
+    backoff: int  # timeouts in a row, of a retransmission or of a probe
 
     @property
     def is_empty(self) -> bool:
--- a/tests/test_bench/test_soak.py
+++ b/tests/test_bench/test_soak.py
@@ -34,6 +34,7 @@
     70013,  # the lease of a record of departures lapsed before the node's restart
     71023,  # the response to the grant of such a lease was lost
     70017,  # the store took no departure before the process that acknowledged it ended
+    90010,  # connections of callers that paused within a response were ended
 )
 
 ORDER = Outcome(
@@ -106,7 +107,7 @@
     usual = {action for group in GROUPS for action in group}
     assert drawn == {COLD_FAULT, SLOW_SERVER_FAULT, *CUSTOMER_FAULTS, *usual}
     assert not any(map(has_customers, REGRESSIONS))
-    assert not any(map(has_slow_readers, REGRESSIONS))
+    assert [seed for seed in REGRESSIONS if has_slow_readers(seed)] == [90010]
     # The other faults of a seed do not depend on these.
     assert all(COLD_FAULT not in {f.action for f in draw_faults(seed, 15.0, 6)}
                for seed in (*REGRESSIONS, 4))  # fmt: skip
