Do not take an answer of the next incarnation for one of the ended server

Cause: an end that no refused connection shows is recorded when the server is back, unless the server has responded since the loss. Before its first heartbeat, which may come seconds late, a new incarnation answers requests with 421, as they name the earlier one, and that counted as such a response.

A 421 is no sign of life of the server that the request names. It shows that another one is in its place, and records the end at once.

The soak's servers that a fatal request ended announce themselves 1 s late.

--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -62,6 +62,7 @@
 FATAL_PATH = "/read/fatal"
 FATAL_BODY = b"fatal" * 5_000
 FATAL_TIMEOUT_S = 0.5
+LATE_ANNOUNCEMENT_S = 1.0
 LATE_CALLS_S = 2.5  # time in which calls to a server that has left are recorded
 COLD_CALLS = 10  # that a cold server has got when its node is killed
 COLD_CALLS_TIMEOUT_S = 3.0
@@ -149,10 +150,16 @@
             ]
         return callers
 
-    def start_server(self, node: MeshNode, cold_s: float = 0.0) -> None:
+    def start_server(
+        self, node: MeshNode, cold_s: float = 0.0, announce_after_s: float = 0.0
+    ) -> None:
         """Start a new incarnation of a node's server."""
         name = f"i-{next(self._instance_numbers)}"
-        flags = (f"--runs_file={self.runs_file}", f"--cold_s={cold_s}")
+        flags = (
+            f"--runs_file={self.runs_file}",
+            f"--cold_s={cold_s}",
+            f"--announce_after_s={announce_after_s}",
+        )
         self.mesh.start_server(node, name, "v1", *flags)
 
     def wait_for_calls(self, node: MeshNode) -> None:
@@ -238,10 +245,13 @@
         threading.Event().wait(LATE_CALLS_S)
 
     def start_ended_servers(self) -> None:
-        """Start new incarnations of the servers that have ended."""
+        """Start new incarnations of the servers that have ended.
+
+        Their first heartbeats come later than the first requests.
+        """
         for node in self.mesh.nodes:
             if node.backend is not None and node.backend.process.poll() is not None:
-                self.start_server(node)
+                self.start_server(node, announce_after_s=LATE_ANNOUNCEMENT_S)
 
     def restart_node(self, node: MeshNode) -> None:
         """Restart a node once its process has ended."""
--- a/bench/standins/mesh.py
+++ b/bench/standins/mesh.py
@@ -155,6 +155,7 @@
         address: str,
         runs_file: str = "",
         cold_s: float = 0.0,
+        announce_after_s: float = 0.0,
     ) -> None:
         self.name = name
         self.node = node
@@ -170,6 +171,7 @@
         self.behaviour = Behaviour()
         self.observed = Observed()
         self.cold_until = time.monotonic() + cold_s
+        self.announce_at = time.monotonic() + announce_after_s
         self.leaving_acknowledged_at: float | None = None  # monotonic time
         self._runs_fd = -1  # of the runs file, which outlives the process
         if runs_file:
@@ -198,7 +200,7 @@
         url = f"http://{self.node}/rpc?call=instances.heartbeat&of={self.name}"
         async with ClientSession(timeout=ClientTimeout(1.0)) as session:
             while True:
-                if self.behaviour.silence:
+                if self.behaviour.silence or time.monotonic() < self.announce_at:
                     await asyncio.sleep(HEARTBEAT_INTERVAL_S)
                     continue
                 self.sequence += 1
@@ -359,10 +361,13 @@
 def run(
     name: str, service: str, port: int, node: str, version: str = "v1",
     host: str = "127.0.0.1", runs_file: str = "", cold_s: float = 0.0,
+    announce_after_s: float = 0.0,
 ) -> None:  # fmt: skip
     """Serve until stopped by a signal."""
     address = f"{host}:{port}"
-    server = MeshServer(name, service, str(version), node, address, runs_file, cold_s)
+    server = MeshServer(
+        name, service, str(version), node, address, runs_file, cold_s, announce_after_s
+    )
     web.run_app(
         server.build_application(),
         host=host,
--- a/monsoontray/forwarding/containment.py
+++ b/monsoontray/forwarding/containment.py
@@ -229,6 +229,16 @@
         losses.is_being_checked = True
         self._check(guard.record.server, losses, ())
 
+    def record_replacement(self, guard: GuardState) -> None:
+        """Record the end of a local server in whose place another one has responded.
+
+        The new incarnation may respond before it has announced itself.
+        """
+        server = guard.record.server
+        losses = self._losses.get(server)
+        if losses is not None and losses.born == guard.record.born:
+            self._record_end(server, losses)
+
     def update_servers(self, records: Collection[ServerRecord]) -> None:
         """Record the ends of servers that were replaced by a new incarnation."""
         current = {record.server: record.born for record in records}
--- a/monsoontray/forwarding/receiving.py
+++ b/monsoontray/forwarding/receiving.py
@@ -10,6 +10,7 @@
 from monsoontray.forwarding.refusals import classify_refusal
 from monsoontray.forwarding.replacing import try_replace
 from monsoontray.forwarding.responses import (
+    Accepted,
     BufferedResponse,
     Mismatched,
     classify_response,
@@ -19,6 +20,7 @@
 from monsoontray.forwarding.routes import GuardRoute
 
 if TYPE_CHECKING:
+    from monsoontray.decisions.guard import GuardState
     from monsoontray.forwarding.call import Call
 
 FIRST_SERVER_ERROR_STATUS = 500
@@ -28,8 +30,6 @@
     """Handle the head of a response; return whether it belongs to the call."""
     hop = call.request.hop
     assert hop is not None
-    if call.guard is not None:
-        call.guard.last_response_at = call.now
     if hop.is_guard:
         refusal = classify_refusal(head, call.call_id)
         if isinstance(refusal, Mismatched):
@@ -44,6 +44,8 @@
             return True
     http_profile = call.forwarder.http_profile
     result = classify_response(head, call.call_id, http_profile)
+    if call.guard is not None:
+        _record_sign_of_life(call, call.guard, result)
     if isinstance(result, Mismatched):
         return False
     call.answer_bytes = 0
@@ -70,6 +72,16 @@
     return True
 
 
+def _record_sign_of_life(
+    call: Call, guard: GuardState, result: Accepted | Mismatched | Refusal
+) -> None:
+    """Record that a local server responded, or that another one has replaced it."""
+    if isinstance(result, Refusal) and result.reason is Reason.WRONG_SERVER:
+        call.forwarder.containment.record_replacement(guard)
+    else:
+        guard.last_response_at = call.now
+
+
 def handle_response_body(call: Call, part: bytes) -> None:
     """Forward or buffer a part of the response body."""
     if call.guard_refusal is not None:
--- a/tests/test_forwarding/test_containment.py
+++ b/tests/test_forwarding/test_containment.py
@@ -223,6 +223,17 @@
     assert forwarder.get_ends() == [ServerEnd("i-1", 7, (FIRST,))]
 
 
+def test_response_of_another_server_in_its_place_is_the_end_of_a_server(
+    forwarder, containment
+):
+    lose(containment, forwarder, FIRST)
+    forwarder.advance(1.0)
+    containment.record_replacement(forwarder.guard)
+    assert forwarder.get_ends() == [ServerEnd("i-1", 7, (FIRST,))]
+    containment.record_replacement(forwarder.guard)
+    assert len(forwarder.get_ends()) == 1
+
+
 def test_server_without_a_response_is_checked_once_in_a_while(forwarder, containment):
     for _ in range(20):
         containment.record_abandoned(FakeCall(FIRST), forwarder.guard)
