--- a/tests/test_forwarding/test_replaced_servers.py
+++ b/tests/test_forwarding/test_replaced_servers.py
@@ -29,7 +29,8 @@
     node.kernel.post = lambda name, message: node.posted.append(message)
     yield node
     node.end_sequence()
-    node.listener.close()
+    for sock in (*node.clients, *node.accepted, node.listener):
+        sock.close()
 
 
 def send_to_server(node, name):
@@ -73,3 +74,13 @@
     node.forwarder.guards.update_servers(update)
     ends = [each.end for each in node.posted if isinstance(each, ServerEnded)]
     assert [(end.server, len(end.fingerprints)) for end in ends] == [("i-0", 1)]
+
+
+# FAILBACK: a server that has just started was taken for one that responds, and was not
+# treated as cold after a lost connection.
+def test_response_of_the_next_incarnation_is_not_one_of_the_known_server(node):
+    connection, request = send_to_server(node, b"first")
+    connection.sendall(WRONG_SERVER % CALL_ID.search(request)[1])
+    node.run()
+    guard = node.forwarder.guards.find("i-0")
+    assert not guard.responded_recently(node.forwarder.now)
