Let no late write replace a later record of a node

Cause: the publisher wrote the node's record without a condition. A write that the store doesn't answer may be done seconds later; the first record of a process, which names no server yet, then replaced the second one, which the store had confirmed. The node saw that, but compared incarnations only, and its own earlier record has the same one.

Change: each write is conditional on the position of the record that the node knows (store/ownership.py). Of all writes at one position at most one is ever done, so that the store is quiet after the first confirmed one. A record of the same incarnation that is read at a later position is written again; only the publisher knows the order, so membership leaves the comparison to it.

--- a/monsoontray/discovery/messages.py
+++ b/monsoontray/discovery/messages.py
@@ -8,7 +8,7 @@
 from monsoontray.decisions.directory import ListedNode
 from monsoontray.decisions.freshness import Proof
 from monsoontray.kernel.mailbox import Reply
-from monsoontray.store.outcomes import Record
+from monsoontray.store.outcomes import ABSENT, Record
 
 
 class StoreListed(Struct, frozen=True):
@@ -52,6 +52,7 @@
 
     value: bytes
     is_spread: bool = False  # all nodes have reason to write at the same time
+    position: int = ABSENT  # of the record that was read last
 
 
 class PublishDepartures(Struct, frozen=True):
@@ -60,6 +61,12 @@
     value: bytes
 
 
+class OwnRecordRead(Struct, frozen=True):
+    """Report a record of this node that was written in the store."""
+
+    record: Record
+
+
 class DeparturesWritten(Struct, frozen=True):
     """Report that the store has confirmed a record of departures."""
 
--- a/monsoontray/discovery/publisher.py
+++ b/monsoontray/discovery/publisher.py
@@ -10,6 +10,7 @@
 from monsoontray.discovery.encoding import DEPARTURES_KEY_PREFIX, NODE_KEY_PREFIX
 from monsoontray.discovery.messages import (
     DeparturesWritten,
+    OwnRecordRead,
     PublishDepartures,
     PublishNode,
     WithdrawNode,
@@ -17,11 +18,13 @@
 from monsoontray.kernel.kernel import CrashPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
 from monsoontray.logs import logger
-from monsoontray.store.outcomes import Cause, Done, Lease, NotDone, Put
+from monsoontray.store.outcomes import Cause, Conflict, Done, Lease, NotDone, Put
+from monsoontray.store.ownership import OwnedKey
 
 if TYPE_CHECKING:
     from monsoontray.settings.settings import Settings
     from monsoontray.store.client import StoreClient
+    from monsoontray.store.outcomes import Record
 
 NAME = "publisher"
 RENEWALS_PER_LIFETIME = 3
@@ -30,6 +33,8 @@
 #: Time after which departures are written again though the store did not answer since.
 DEPARTURES_RETRY_S = 3.0
 MAX_SPREAD_S = 1.0
+#: Writes in a row, each at the position that the one before was refused for.
+MAX_WRITES = 3
 
 
 class Publisher(Task):
@@ -43,7 +48,7 @@
         super().__init__(NAME, kernel, handle_message)
         settings: Settings = kernel.find("settings").settings
         node = settings.get_string("node")
-        self._key = NODE_KEY_PREFIX + node
+        self._node_key = OwnedKey(NODE_KEY_PREFIX + node)
         self._client: StoreClient = kernel.find("store").open_client("record")
         self._departures_client: StoreClient = kernel.find("store").open_client(
             "departures"
@@ -93,11 +98,12 @@
         )
         self._failures += 1
 
-    def publish(self, value: bytes, is_spread: bool = False) -> None:
+    def publish(self, value: bytes, position: int, is_spread: bool = False) -> None:
         """Write a record, even if it is the same as before.
 
         What all nodes write at once is spread over the time between two renewals.
         """
+        self._node_key.advance(position)
         self._value = value
         self._is_written = False
         spread_s = min(self._lifetime_s / RENEWALS_PER_LIFETIME, MAX_SPREAD_S)
@@ -112,6 +118,14 @@
         self._departures_retry_at = 0.0
         self._next_attempt_at = self.clock.now()
 
+    def check_record(self, record: Record) -> None:
+        """Replace a record that was written after the latest of this process."""
+        if self._node_key.advance(record.revision) and record.value != self._value:
+            if self._is_written:
+                logger.warning("own record was replaced by an earlier one")
+            self._is_written = False
+            self._next_attempt_at = self.clock.now()
+
     def withdraw(self) -> None:
         """Remove the record by revoking its lease."""
         self._value = b""
@@ -162,8 +176,12 @@
     def _write(self) -> bool:
         """Write the node's record; return whether the store confirmed it."""
         assert self._lease is not None
-        put = Put(self._key, self._value, self._lease.lease_id)
-        outcome = self._client.commit({}, (put,))
+        lease_id = self._lease.lease_id
+        for _ in range(MAX_WRITES):
+            outcome = self._node_key.write(self._client, self._value, lease_id)
+            if not isinstance(outcome, Conflict):
+                break
+            self._node_key.position = outcome.revision
         if outcome == NotDone(Cause.LEASE_EXPIRED):
             self._lease = None
         self._is_written = isinstance(outcome, Done)
@@ -192,7 +210,7 @@
 
 @handle_message.register(PublishNode)
 def _(message: PublishNode, publisher: Publisher) -> None:
-    publisher.publish(message.value, message.is_spread)
+    publisher.publish(message.value, message.position, message.is_spread)
 
 
 @handle_message.register(PublishDepartures)
@@ -200,6 +218,11 @@
     publisher.publish_departures(message.value)
 
 
+@handle_message.register(OwnRecordRead)
+def _(message: OwnRecordRead, publisher: Publisher) -> None:
+    publisher.check_record(message.record)
+
+
 @handle_message.register(WithdrawNode)
 def _(message: WithdrawNode, publisher: Publisher) -> None:
     publisher.withdraw()
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -27,6 +27,7 @@
     DeparturesRecovered,
     DeparturesWritten,
     DescribeNodes,
+    OwnRecordRead,
     PublishNode,
     ServerAnnounced,
     ServerLeft,
@@ -45,6 +46,7 @@
 from monsoontray.kernel.task import Task
 from monsoontray.logs import logger
 from monsoontray.store.eras import get_era
+from monsoontray.store.outcomes import ABSENT
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -77,6 +79,7 @@
         #: the record of an earlier process of this node is not replaced.
         self._is_listed = False
         self._era = 0  # of the store, at the latest listing
+        self._position = ABSENT  # of this node's record, as read last
         self._random = Random(self._node)
         self._location = Location(
             self._node, settings.get_string("region"), settings.get_string("zone")
@@ -109,6 +112,9 @@
         is_copy = self._is_listed and get_era(revision) > self._era
         self._era = max(self._era, get_era(revision))
         self._restore_departures(records)
+        for record in records:
+            if record.key == self._key:
+                self._position = max(self._position, record.revision)
         decoded = [
             self._decode_node(record)
             for record in records
@@ -137,7 +143,7 @@
                 continue  # departures bind from the start of a process
             node = self._decode_node(record)
             if record.key == self._key:
-                self._check_own_record(node)
+                self._check_own_record(record, node)
             elif node is None:
                 # What the record replaced may still be true.
                 self._directory.unlist(record.key.removeprefix(NODE_KEY_PREFIX), now)
@@ -272,13 +278,19 @@
             self._refusals.report(record, error)
             return None
 
-    def _check_own_record(self, node: ListedNode | None) -> None:
-        """Publish this node's record again if another writer has replaced it."""
+    def _check_own_record(self, record: Record, node: ListedNode | None) -> None:
+        """Publish this node's record again if another one has replaced it.
+
+        Only the publisher knows the order of the records of this process.
+        """
+        self._position = max(self._position, record.revision)
         if node is not None:
             self._take_over((node,))
         if node is None or node.incarnation != self._incarnation:
             logger.warning("own record was replaced in the store")
             self._publish()
+        else:
+            self.kernel.post("publisher", OwnRecordRead(record))
 
     def _take_over(self, own: Iterable[ListedNode]) -> None:
         """Take over what earlier processes of this node have published.
@@ -305,7 +317,8 @@
         self._directory.add(node)
         if self._is_listed and self._departures.is_recovered:
             value = msgspec.json.encode(node)
-            self.kernel.post("publisher", PublishNode(value, is_spread))
+            message = PublishNode(value, is_spread, self._position)
+            self.kernel.post("publisher", message)
 
     def _update_guard(self) -> None:
         """Post the local server, if any, to the forwarding service."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -51,6 +51,8 @@
         self.era = 0
         self.unreachable = False
         self.loses_write_responses = False
+        self.delays_writes = False
+        self.delayed = []  # expected revisions and puts of writes to be done later
         self.compacted = False
         self.writes = 0
         self.events: list[tuple[Record, bool]] = []  # record, whether it was written
@@ -126,6 +128,18 @@
         self.writes += 1
         if self.unreachable:
             return NotDone(Cause.UNREACHABLE)
+        if self.delays_writes:
+            self.delayed.append((dict(expected), tuple(puts)))
+            return Unknown(Cause.TIMEOUT)
+        return self.apply(expected, puts)
+
+    def do_delayed_writes(self):
+        """Do the delayed writes whose conditions still hold."""
+        for expected, puts in self.delayed:
+            self.apply(expected, puts)
+        self.delayed = []
+
+    def apply(self, expected, puts):
         for put in puts:
             if put.lease_id and put.lease_id not in self.leases:
                 return NotDone(Cause.LEASE_EXPIRED)
--- a/tests/test_discovery/test_publisher.py
+++ b/tests/test_discovery/test_publisher.py
@@ -4,11 +4,12 @@
 
 from monsoontray.discovery.messages import (
     DeparturesWritten,
+    OwnRecordRead,
     PublishDepartures,
     PublishNode,
 )
 from monsoontray.discovery.publisher import MAX_RETRY_DELAY_S, Publisher, handle_message
-from monsoontray.store.outcomes import Cause, Unknown
+from monsoontray.store.outcomes import Cause, Record, Unknown
 from tests.fakes import FakeKernel
 
 KEY = "nodes/node-0"
@@ -73,6 +74,36 @@
     assert kernel.store.writes == writes
 
 
+# The first record of a process, done late, hid the server that the second one named.
+@pytest.mark.parametrize("has_earlier", [False, True])
+def test_record_that_is_written_late_replaces_no_later_one(kernel, has_earlier):
+    if has_earlier:
+        kernel.store.put(KEY, b"of an earlier process")
+    kernel.store.delays_writes = True
+    publisher = publish(kernel, b"without a server")
+    kernel.store.delays_writes = False
+    handle_message(PublishNode(b"with a server"), publisher)
+    run(publisher, kernel, 1.0)
+    kernel.store.do_delayed_writes()
+    assert kernel.store.records[KEY].value == b"with a server"
+
+
+# An earlier record, found in the store in place of the latest one, was left there.
+def test_record_that_was_replaced_by_an_earlier_one_is_written_once(kernel):
+    publisher = publish(kernel)
+    latest = kernel.store.records[KEY]
+    handle_message(OwnRecordRead(latest), publisher)
+    handle_message(OwnRecordRead(Record(KEY, 1, b"older news")), publisher)
+    run(publisher, kernel, 1.0)
+    assert kernel.store.records[KEY] == latest
+    kernel.store.put(KEY, b"late", kernel.store.lease_ids[KEY])
+    writes = kernel.store.writes
+    handle_message(OwnRecordRead(kernel.store.records[KEY]), publisher)
+    run(publisher, kernel, 5.0)
+    assert kernel.store.records[KEY].value == b"me"
+    assert kernel.store.writes == writes + 1
+
+
 def test_calls_to_an_unreachable_store_are_limited(kernel):
     publisher = publish(kernel)
     kernel.store.unreachable = True
