Let no late write replace later departures of servers

What callers would see: the next process of a node uses a server whose leaving was acknowledged (DRAIN, ROUTE).

Cause: departures/NODE was written without a condition too. An earlier list that the store writes late replaces a later one that it had confirmed; from then on no keeper is told of the later departure any more, and only the next process reads the record. A process that acknowledged a leaving before it had read the store replaced the list of the process before it in the same way.

Change: the record is written at its known position. A list that is found in its place is handed to membership, which adds it to what it knows and publishes all of it. Lists that a running node reads, because the store wrote them late, are added as well; an earlier list displaces no later departures where there are more than a record holds. A conflict now carries the records as they are.

--- a/monsoontray/decisions/announcements.py
+++ b/monsoontray/decisions/announcements.py
@@ -147,9 +147,9 @@
         """
         is_current = False
         for each in departures:
-            known = self._acknowledged.get((each.server, each.born))
-            if known is None or known.left_ms < each.left_ms:
-                self._remember(each)
+            key = (each.server, each.born)
+            known = self._acknowledged.get(key, each)
+            self._acknowledged[key] = max(known, each, key=_get_time)
             if each.born:
                 is_current |= self.restore_departure(each.server, each.born)
                 continue
@@ -158,6 +158,11 @@
             current = self._current
             if current is not None and self._is_departed(current, now):
                 is_current |= self.restore_departure(current.server, current.born)
+        # Those that are read again, in an earlier list, displace no later ones.
+        acknowledged = sorted(self._acknowledged.values(), key=_get_time)
+        self._acknowledged = {
+            (each.server, each.born): each for each in acknowledged[-MAX_DEPARTURES:]
+        }
         return is_current
 
     def restore_departure(self, server: str, born: int) -> bool:
@@ -219,6 +224,10 @@
             del self._ended_incarnations[next(iter(self._ended_incarnations))]
 
 
+def _get_time(departure: Departure) -> int:
+    return departure.left_ms
+
+
 def _strip_volatile(announcement: Announcement) -> Announcement:
     """Return an announcement without the fields that other nodes do not use."""
     return replace(announcement, cold_for_s=0.0, sequence=0)
--- a/monsoontray/discovery/departures.py
+++ b/monsoontray/discovery/departures.py
@@ -11,6 +11,7 @@
     PublishDepartures,
     RecoverDepartures,
 )
+from monsoontray.store.outcomes import ABSENT
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -45,6 +46,7 @@
         "_kernel",
         "_lists_others",
         "_node",
+        "_position",
         "_recovery_deadline",
         "_tell_at",
         "_tracker",
@@ -69,6 +71,7 @@
         self._recovery_deadline: float | None = None
         self._ask_until = 0.0  # until then nodes that are listed now are asked
         self._lists_others = False  # whether the first listing had other nodes
+        self._position = ABSENT  # of the record that was read last
         #: Whether this process knows what earlier ones acknowledged. Until then no
         #: server is used, as it may have left.
         self.is_recovered = False
@@ -93,7 +96,7 @@
         wall_time = self._kernel.clock.wall_time()
         if not self._tracker.acknowledge_departure(server, born, wall_time, has_left):
             return False
-        self._publish()
+        self.publish()
         return True
 
     def acknowledge(
@@ -106,6 +109,21 @@
         else:
             reply.put(AnnouncementEffect.REPEATED)
 
+    def read(self, departures: Iterable[Departure], position: int) -> bool:
+        """Apply departures of the store's record, at its position.
+
+        Return whether the current server is one of them.
+        """
+        self._position = max(self._position, position)
+        return self._tracker.restore(departures, self._kernel.clock.now())
+
+    def publish(self) -> None:
+        """Write all departures, and tell the keepers until the store has them."""
+        departures = self._tracker.get_departures()
+        message = PublishDepartures(encode_departures(departures), self._position)
+        self._kernel.post("publisher", message)
+        self._tell(self._kernel.clock.now())
+
     def handle_written(self, value: bytes) -> None:
         """Acknowledge the leavings if the store has the latest of them."""
         if value == encode_departures(self._tracker.get_departures()):
@@ -138,17 +156,11 @@
         known = self._tracker.get_departures()
         is_current = self._tracker.restore(departures, self._kernel.clock.now())
         if set(self._tracker.get_departures()) != set(known):
-            self._publish()
+            self.publish()
         if is_last and self._lists_others:
             self._end_recovery()
         return is_current
 
-    def _publish(self) -> None:
-        departures = self._tracker.get_departures()
-        message = PublishDepartures(encode_departures(departures))
-        self._kernel.post("publisher", message)
-        self._tell(self._kernel.clock.now())
-
     def _tell(self, now: float) -> None:
         """Tell the keepers until the store has the departures."""
         self._tell_at = now + TELL_INTERVAL_S
--- a/monsoontray/discovery/messages.py
+++ b/monsoontray/discovery/messages.py
@@ -59,6 +59,7 @@
     """Write this node's record of departures to the store."""
 
     value: bytes
+    position: int = ABSENT  # of the record that was read last
 
 
 class OwnRecordRead(Struct, frozen=True):
@@ -67,6 +68,12 @@
     record: Record
 
 
+class DeparturesFound(Struct, frozen=True):
+    """Report a record of this node's departures that it hasn't written last."""
+
+    record: Record
+
+
 class DeparturesWritten(Struct, frozen=True):
     """Report that the store has confirmed a record of departures."""
 
--- a/monsoontray/discovery/publisher.py
+++ b/monsoontray/discovery/publisher.py
@@ -9,6 +9,7 @@
 from monsoontray.decisions.backoff import compute_retry_time
 from monsoontray.discovery.encoding import DEPARTURES_KEY_PREFIX, NODE_KEY_PREFIX
 from monsoontray.discovery.messages import (
+    DeparturesFound,
     DeparturesWritten,
     OwnRecordRead,
     PublishDepartures,
@@ -18,7 +19,14 @@
 from monsoontray.kernel.kernel import CrashPolicy, Kernel, Registration
 from monsoontray.kernel.task import Task
 from monsoontray.logs import logger
-from monsoontray.store.outcomes import Cause, Conflict, Done, Lease, NotDone, Put
+from monsoontray.store.outcomes import (
+    ABSENT,
+    Cause,
+    Conflict,
+    Done,
+    Lease,
+    NotDone,
+)
 from monsoontray.store.ownership import OwnedKey
 
 if TYPE_CHECKING:
@@ -59,7 +67,7 @@
         self._lease: Lease | None = None
         self._value = b""
         self._is_written = False
-        self._departures_key = DEPARTURES_KEY_PREFIX + node
+        self._departures_key = OwnedKey(DEPARTURES_KEY_PREFIX + node)
         self._departures: bytes | None = None  # the latest
         self._unwritten_departures: bytes | None = None
         self._departures_retry_at = 0.0
@@ -111,8 +119,9 @@
         due = self.clock.now() + delay_s
         self._next_attempt_at = min(self._next_attempt_at, due) if is_spread else due
 
-    def publish_departures(self, value: bytes) -> None:
+    def publish_departures(self, value: bytes, position: int) -> None:
         """Write the record of departures."""
+        self._departures_key.advance(position)
         self._departures = value
         self._unwritten_departures = value
         self._departures_retry_at = 0.0
@@ -120,11 +129,18 @@
 
     def check_record(self, record: Record) -> None:
         """Replace a record that was written after the latest of this process."""
-        if self._node_key.advance(record.revision) and record.value != self._value:
-            if self._is_written:
-                logger.warning("own record was replaced by an earlier one")
-            self._is_written = False
-            self._next_attempt_at = self.clock.now()
+        if record.key == self._node_key.key:
+            if self._node_key.advance(record.revision) and record.value != self._value:
+                if self._is_written:
+                    logger.warning("own record was replaced by an earlier one")
+                self._is_written = False
+                self._next_attempt_at = self.clock.now()
+        elif (
+            record.key == self._departures_key.key
+            and self._departures_key.advance(record.revision)
+            and record.value != self._departures
+        ):
+            self.kernel.post("membership", DeparturesFound(record))
 
     def withdraw(self) -> None:
         """Remove the record by revoking its lease."""
@@ -135,7 +151,7 @@
 
     def close(self) -> None:
         """Write what is left, revoke the lease of the node and close the client."""
-        self._write_departures()
+        self._write_departures(is_last=True)
         self.withdraw()
         self._departures_client.close()
         self._client.close()
@@ -187,14 +203,27 @@
         self._is_written = isinstance(outcome, Done)
         return self._is_written
 
-    def _write_departures(self) -> bool:
-        """Write departures that are not written; return whether the store has all."""
+    def _write_departures(self, is_last: bool = False) -> bool:
+        """Write departures that are not written; return False to try again.
+
+        Departures that are found in their place, of an earlier process or by a late
+        write, are not lost: membership adds them and publishes all of them. Those found
+        by the last write of a process that has read or written some are known.
+        """
         value = self._unwritten_departures
         if value is None:
             return True
         self._departures_retry_at = self.clock.now() + DEPARTURES_RETRY_S
-        put = Put(self._departures_key, value)
-        outcome = self._departures_client.commit({}, (put,))
+        outcome = self._departures_key.write(self._departures_client, value)
+        if isinstance(outcome, Conflict):
+            are_known = is_last and self._departures_key.position != ABSENT
+            if outcome.records and not are_known:
+                self._unwritten_departures = None
+                found = DeparturesFound(outcome.records[0])
+                self.kernel.post("membership", found)
+                return True
+            self._departures_key.position = outcome.revision
+            outcome = self._departures_key.write(self._departures_client, value)
         if not isinstance(outcome, Done):
             return False
         self._unwritten_departures = None
@@ -215,7 +244,7 @@
 
 @handle_message.register(PublishDepartures)
 def _(message: PublishDepartures, publisher: Publisher) -> None:
-    publisher.publish_departures(message.value)
+    publisher.publish_departures(message.value, message.position)
 
 
 @handle_message.register(OwnRecordRead)
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -24,6 +24,7 @@
 )
 from monsoontray.discovery.messages import (
     ChooseStoreAccess,
+    DeparturesFound,
     DeparturesRecovered,
     DeparturesWritten,
     DescribeNodes,
@@ -51,6 +52,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from monsoontray.decisions.announcements import Departure
     from monsoontray.settings.settings import Settings
     from monsoontray.store.outcomes import Record
 
@@ -111,9 +113,10 @@
         """
         is_copy = self._is_listed and get_era(revision) > self._era
         self._era = max(self._era, get_era(revision))
-        self._restore_departures(records)
         for record in records:
-            if record.key == self._key:
+            if record.key == self._departures_key:
+                self._restore_departures(record)
+            elif record.key == self._key:
                 self._position = max(self._position, record.revision)
         decoded = [
             self._decode_node(record)
@@ -139,8 +142,10 @@
         """Apply records that were written or removed in the store."""
         now = self.clock.now()
         for record in message.records:
+            if record.key == self._departures_key:
+                self.kernel.post("publisher", OwnRecordRead(record))
             if not record.key.startswith(NODE_KEY_PREFIX):
-                continue  # departures bind from the start of a process
+                continue  # departures of other nodes bind their next processes only
             node = self._decode_node(record)
             if record.key == self._key:
                 self._check_own_record(record, node)
@@ -204,6 +209,11 @@
         """Acknowledge the leavings that the store has."""
         self._departures.handle_written(message.value)
 
+    def handle_departures_found(self, message: DeparturesFound) -> None:
+        """Add departures that the store has, and write all of them."""
+        self._restore_departures(message.record)
+        self._departures.publish()
+
     def recover_departures(self, message: DeparturesRecovered) -> None:
         """Take over which servers have left, as another node has kept it."""
         was_recovered = self._departures.is_recovered
@@ -235,19 +245,16 @@
         read_by_all = self._settings.get_int("read_by_all")
         return choose_store_access(self._location, listed, read_by_all, self._random)
 
-    def _restore_departures(self, records: Iterable[Record]) -> None:
+    def _restore_departures(self, record: Record) -> None:
         """Take over which servers have left, as earlier processes acknowledged it."""
-        for record in records:
-            if record.key != self._departures_key:
-                continue
-            try:
-                departures = decode_departures(record)
-            except DecodingError as error:
-                self._refusals.report(record, error)
-                continue
-            if self._local_server.restore(departures, self.clock.now()):
-                logger.info("local server is leaving, as an earlier process knew")
-                self._update_guard()
+        departures: tuple[Departure, ...] = ()
+        try:
+            departures = decode_departures(record)
+        except DecodingError as error:
+            self._refusals.report(record, error)
+        if self._departures.read(departures, record.revision):
+            logger.info("local server is leaving, as an earlier process knew")
+            self._update_guard()
 
     def _use_local_server(self) -> None:
         """Let calls use the local server, now that it is known which have left."""
@@ -390,6 +397,11 @@
     discovery.handle_departures_written(message)
 
 
+@handle_message.register(DeparturesFound)
+def _(message: DeparturesFound, discovery: Discovery) -> None:
+    discovery.handle_departures_found(message)
+
+
 @handle_message.register(DeparturesRecovered)
 def _(message: DeparturesRecovered, discovery: Discovery) -> None:
     discovery.recover_departures(message)
--- a/monsoontray/platform/store.py
+++ b/monsoontray/platform/store.py
@@ -216,7 +216,8 @@
             if conflict is None:
                 return Unknown(Cause.BAD_RESPONSE)
             current = max((item.revision for item in conflict.items), default=ABSENT)
-            return Conflict(current)
+            existing = [item for item in conflict.items if item.revision != ABSENT]
+            return Conflict(current, tuple(_build_records(existing)))
         result = find_json(response.body, RevisionSchema)
         return Unknown(Cause.BAD_RESPONSE) if result is None else Done(result.revision)
 
--- a/monsoontray/store/outcomes.py
+++ b/monsoontray/store/outcomes.py
@@ -36,6 +36,7 @@
     """Outcome of a write that found a key at another revision and had no effect."""
 
     revision: int  # highest revision that the store reported
+    records: tuple[Record, ...] = ()  # those of the keys that exist
 
 
 class Cause(enum.Enum):
--- a/monsoontray/store/positions.py
+++ b/monsoontray/store/positions.py
@@ -168,11 +168,17 @@
     return outcome
 
 
-@locate.register(Record | Done | Conflict)
-def _(outcome: Record | Done | Conflict, era: int) -> Record | Done | Conflict:
+@locate.register(Record | Done)
+def _(outcome: Record | Done, era: int) -> Record | Done:
     return replace(outcome, revision=build_position(era, outcome.revision))
 
 
+@locate.register(Conflict)
+def _(outcome: Conflict, era: int) -> Conflict:
+    records = tuple(locate(record, era) for record in outcome.records)
+    return Conflict(build_position(era, outcome.revision), records)
+
+
 @locate.register(Listing)
 def _(outcome: Listing, era: int) -> Listing:
     records = tuple(locate(record, era) for record in outcome.records)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -146,7 +146,10 @@
         for key, revision in expected.items():
             current = self.records[key].revision if key in self.records else ABSENT
             if current != revision:
-                return Conflict(current)
+                existing = [
+                    self.records[key] for key in expected if key in self.records
+                ]
+                return Conflict(current, tuple(existing))
         for put in puts:
             self.put(put.key, put.value, put.lease_id)
         if self.loses_write_responses:
--- a/tests/test_decisions/test_announcements.py
+++ b/tests/test_decisions/test_announcements.py
@@ -105,6 +105,19 @@
     assert len(later.get_departures()) == MAX_DEPARTURES
 
 
+# A list that the store wrote late brought back old departures in place of later ones.
+def test_earlier_list_that_is_read_again_displaces_no_later_departures():
+    tracker = LocalServerTracker()
+    for i in range(MAX_DEPARTURES):
+        tracker.acknowledge_departure(f"i-{i}", 1, i)
+    late = tracker.get_departures()
+    for i in range(MAX_DEPARTURES, MAX_DEPARTURES + 3):
+        tracker.acknowledge_departure(f"i-{i}", 1, i)
+    latest = tracker.get_departures()
+    tracker.restore(late, 30.0)
+    assert tracker.get_departures() == latest
+
+
 # The second leaving of a server that names no incarnation kept the time of the first.
 def test_later_leaving_without_an_incarnation_replaces_an_earlier_one():
     tracker = LocalServerTracker()
--- a/tests/test_discovery/test_publisher.py
+++ b/tests/test_discovery/test_publisher.py
@@ -3,6 +3,7 @@
 import pytest
 
 from monsoontray.discovery.messages import (
+    DeparturesFound,
     DeparturesWritten,
     OwnRecordRead,
     PublishDepartures,
@@ -169,6 +170,34 @@
     assert kernel.store.records[DEPARTURES_KEY].value == b"second"
 
 
+# An earlier list of departures, done late, let the next process use a server that left.
+def test_departures_that_are_written_late_replace_no_later_ones(kernel):
+    publisher = publish(kernel)
+    kernel.store.delays_writes = True
+    handle_message(PublishDepartures(b"one"), publisher)
+    run(publisher, kernel, 0.1)
+    kernel.store.delays_writes = False
+    handle_message(PublishDepartures(b"one and two"), publisher)
+    run(publisher, kernel, 0.1)
+    kernel.store.do_delayed_writes()
+    assert kernel.store.records[DEPARTURES_KEY].value == b"one and two"
+
+
+# Departures that an earlier process had acknowledged were written over unread.
+def test_departures_in_the_store_are_added_before_they_are_replaced(kernel):
+    publisher = publish(kernel)
+    kernel.store.put(DEPARTURES_KEY, b"earlier")
+    found = kernel.store.records[DEPARTURES_KEY]
+    handle_message(PublishDepartures(b"one"), publisher)
+    run(publisher, kernel, 1.0)
+    assert kernel.pop_posted("membership") == [DeparturesFound(found)]
+    assert kernel.store.records[DEPARTURES_KEY] == found
+    handle_message(PublishDepartures(b"both", found.revision), publisher)
+    run(publisher, kernel, 0.1)
+    assert kernel.pop_posted("membership") == [DeparturesWritten(b"both")]
+    assert kernel.store.records[DEPARTURES_KEY].value == b"both"
+
+
 # The departures were written again every 0.6 s, by each node whose server left.
 def test_departures_are_rarely_written_to_a_store_that_does_not_answer(kernel):
     publisher = publish(kernel)
--- a/tests/test_store/test_http.py
+++ b/tests/test_store/test_http.py
@@ -48,7 +48,10 @@
     written = client.compare_and_swap("a/b", ABSENT, b"one")
     assert isinstance(written, Done)
     assert client.get("a/b") == Record("a/b", written.revision, b"one")
-    assert client.compare_and_swap("a/b", ABSENT, b"two") == Conflict(written.revision)
+    current = Record("a/b", written.revision, b"one")
+    assert client.compare_and_swap("a/b", ABSENT, b"two") == Conflict(
+        written.revision, (current,)
+    )
     assert isinstance(client.compare_and_swap("a/b", written.revision, b"two"), Done)
 
 
--- a/tests/test_store/test_late_writes.py
+++ b/tests/test_store/test_late_writes.py
@@ -6,6 +6,8 @@
 import pytest
 
 from monsoontray.decisions.directory import ListedNode
+from monsoontray.discovery.encoding import decode_departures
+from monsoontray.store.outcomes import Record
 from tests.test_store.late_writes import Play
 
 SEEDS = 250
@@ -19,6 +21,12 @@
     return plays
 
 
+def read_all(play, key, read):
+    """Return what the values of a key said, at any time and at the end."""
+    said = [set(read(value)) for value in play.store.values.get(key, ())]
+    return set().union(*said), said[-1] if said else set()
+
+
 # A node's first record, done late, hid the server that the second one had named.
 def test_record_of_a_node_is_the_one_in_force_there(plays):
     outdated = []
@@ -30,6 +38,23 @@
     assert outdated == []
 
 
+# An earlier list of departures, done late, let the next process use a server that left.
+def test_departures_that_were_stored_stay(plays):
+    lost = []
+    for seed, play in enumerate(plays):
+        for name in play.names:
+            key = f"departures/{name}"
+            ever, now = read_all(
+                play,
+                key,
+                lambda value, key=key: decode_departures(Record(key, 1, value)),
+            )
+            lost += [(seed, name)] * bool(
+                {(d.server, d.born) for d in ever} - {(d.server, d.born) for d in now}
+            )
+    assert lost == []
+
+
 def test_nothing_is_written_once_the_late_writes_are_done(plays):
     restless = [
         seed
