Let no late write take back that a request was cleared

What callers would see: a node that starts refuses a request that completed elsewhere (503 poison).

Cause: the records of ended servers and cleared requests were written without a condition. A clearance that the store writes late replaces the one that two clearances were joined in, and of two nodes that clear a request at the same time one replaces the other's record. Running nodes join what they read; a node that starts knows only what is stored.

Change: the writer names the position at which each record was read or written. Records that are found in the place of others go to the containment service, which joins them with its own and writes what they lack.

--- a/monsoontray/containment/messages.py
+++ b/monsoontray/containment/messages.py
@@ -6,6 +6,7 @@
 
 from monsoontray.decisions.containment import Clearance, ServerEnd
 from monsoontray.kernel.mailbox import Reply
+from monsoontray.store.outcomes import Record
 
 
 class ServerEnded(Struct, frozen=True):
@@ -31,6 +32,13 @@
     """Write records to the store."""
 
     values: dict[str, bytes]  # by key
+    positions: dict[str, int] = {}  # of the records that were read last, by key
+
+
+class RecordsFound(Struct, frozen=True):
+    """Report records that the store has in place of those to be written."""
+
+    records: tuple[Record, ...]
 
 
 class ShareRecords(Struct, frozen=True):
--- a/monsoontray/containment/service.py
+++ b/monsoontray/containment/service.py
@@ -16,6 +16,7 @@
     encode_end,
 )
 from monsoontray.containment.messages import (
+    RecordsFound,
     RecordsLearned,
     RequestCleared,
     ServerEnded,
@@ -68,7 +69,8 @@
         self._deadlines: dict[str, float] = {}
         self._own_ends: set[str] = set()  # keys
         self._era = 0  # of the store, at the latest listing
-        self._stored: set[str] = set()  # keys of the records that the store has shown
+        #: Positions of the records that the store has shown, by key.
+        self._stored: dict[str, int] = {}
         self._own_clearances: set[str] = set()  # keys
         self._clearances_due: dict[str, float] = {}  # when they are written, by key
 
@@ -138,14 +140,15 @@
         node that had written it writes it again.
         """
         listed = {record.key: record for record in records}
-        lost = self._stored - listed.keys()
+        lost = self._stored.keys() - listed.keys()
+        for key in lost:
+            del self._stored[key]
         if get_era(revision) > self._era:
             self._era = get_era(revision)
             self._write_again(lost)
         else:
             for key in lost:
                 self._forget(key)
-        self._stored &= listed.keys()
         for record in listed.values():
             self._apply_stored(record)
         self._post_update()
@@ -164,17 +167,31 @@
             self._apply_stored(record)
         for record in message.removed:
             if record.key in self._stored:
-                self._stored.discard(record.key)
+                del self._stored[record.key]
                 self._forget(record.key)
         self._post_update()
 
+    def merge_found(self, message: RecordsFound) -> None:
+        """Add records that the store has to this node's, and write what they lack."""
+        for record in message.records:
+            key = record.key
+            self._apply_stored(record)
+            if key in self._own_ends:
+                self._write(key, encode_end(self._ends[key]))
+            elif key in self._clearances:
+                self._clearances_due.pop(key, None)
+                value = encode_clearance(self._clearances[key])
+                if value != record.value:
+                    self._write(key, value)
+        self._post_update()
+
     def _apply_stored(self, record: Record) -> None:
         """Apply a record of the store."""
         key = record.key
         self._apply(record)
         if key not in self._ends and key not in self._clearances:
             return
-        self._stored.add(key)
+        self._stored[key] = record.revision
         self._deadlines.setdefault(key, self.clock.now() + self._lifetime_s)
         known = self._clearances.get(key)
         if known is None:
@@ -198,7 +215,8 @@
             self._refusals.report(record, error)
             return False
         is_new = key not in self._ends
-        self._ends[key] = end
+        if key not in self._own_ends:
+            self._ends[key] = end
         return is_new
 
     def _merge_clearance(self, key: str, clearance: Clearance) -> bool:
@@ -236,7 +254,8 @@
         self.kernel.post(PEERS, ShareRecords(values, dict(self._deadlines)))
 
     def _write(self, key: str, value: bytes) -> None:
-        self.kernel.post(WRITER, WriteRecords({key: value}))
+        positions = {key: self._stored[key]} if key in self._stored else {}
+        self.kernel.post(WRITER, WriteRecords({key: value}, positions))
 
 
 @singledispatch
@@ -260,6 +279,11 @@
     service.learn(message)
 
 
+@handle_message.register(RecordsFound)
+def _(message: RecordsFound, service: ContainmentService) -> None:
+    service.merge_found(message)
+
+
 @handle_message.register(StoreListed)
 def _(message: StoreListed, service: ContainmentService) -> None:
     service.apply_listing(message.records, message.revision)
--- a/tests/test_containment/test_service.py
+++ b/tests/test_containment/test_service.py
@@ -36,6 +36,7 @@
 END = ServerEnd("i-1", 7, (FINGERPRINT,))
 KEY = build_end_key(END)
 CLEARANCE = Clearance(FINGERPRINT, frozenset((KEY,)))
+CLEARANCE_KEY = f"{PREFIX}cleared/{FINGERPRINT}"
 
 
 @pytest.fixture
@@ -94,6 +95,38 @@
     assert kernel.store.writes == 3
 
 
+# A clearance, done late, took back the later one: the next node to start refused a
+# request that had been cleared.
+def test_record_that_is_written_late_replaces_no_later_one(service, writer, kernel):
+    kernel.store.delays_writes = True
+    handle_message(RequestCleared(CLEARANCE), service)
+    run(service, kernel, MAX_CLEARANCE_DELAY_S + 0.1, writer)
+    kernel.store.delays_writes = False
+    other = Clearance(FINGERPRINT, frozenset((KEY[:-1] + "0",)))
+    handle_message(RequestCleared(other), service)
+    run(service, kernel, MAX_CLEARANCE_DELAY_S + 0.1, writer)
+    kernel.store.do_delayed_writes()
+    stored = decode_clearance(kernel.store.records[CLEARANCE_KEY].value)
+    assert stored.ends == CLEARANCE.ends | other.ends
+
+
+# Of two nodes that cleared a request at the same time, one replaced the other's record.
+def test_record_of_another_node_is_joined_before_it_is_replaced(
+    service, writer, kernel
+):
+    other = Clearance(FINGERPRINT, frozenset((KEY[:-1] + "0",)))
+    kernel.store.put(CLEARANCE_KEY, encode_clearance(other))
+    handle_message(RequestCleared(CLEARANCE), service)
+    run(service, kernel, MAX_CLEARANCE_DELAY_S + 0.1, writer)
+    (found,) = kernel.pop_posted("containment")
+    stored = decode_clearance(kernel.store.records[CLEARANCE_KEY].value)
+    assert stored == other
+    handle_message(found, service)
+    run(service, kernel, 0.1, writer)
+    stored = decode_clearance(kernel.store.records[CLEARANCE_KEY].value)
+    assert stored.ends == CLEARANCE.ends | other.ends
+
+
 def test_end_is_written_after_an_outage_of_the_store(service, writer, kernel):
     kernel.store.unreachable = True
     handle_message(ServerEnded(END), service)
--- a/tests/test_store/test_late_writes.py
+++ b/tests/test_store/test_late_writes.py
@@ -5,10 +5,11 @@
 import msgspec
 import pytest
 
+from monsoontray.containment.encoding import CLEARANCE_PREFIX, decode_clearance
 from monsoontray.decisions.directory import ListedNode
 from monsoontray.discovery.encoding import decode_departures
 from monsoontray.store.outcomes import Record
-from tests.test_store.late_writes import Play
+from tests.test_store.late_writes import FINGERPRINT, Play
 
 SEEDS = 250
 
@@ -55,6 +56,16 @@
     assert lost == []
 
 
+# An earlier clearance, done late, took back that a request had been cleared.
+def test_clearances_that_were_stored_stay(plays):
+    key = CLEARANCE_PREFIX + FINGERPRINT
+    lost = []
+    for seed, play in enumerate(plays):
+        ever, now = read_all(play, key, lambda value: decode_clearance(value).ends)
+        lost += [seed] * bool(ever - now)
+    assert lost == []
+
+
 def test_nothing_is_written_once_the_late_writes_are_done(plays):
     restless = [
         seed
