End the lease of a decider whose key may still be written

What operators would see: a rollout that nobody decides for up to 4.5 s after the store did one write late.

Cause: the key of the decider is written on condition that it doesn't exist. A write without an answer, done seconds later, takes the duty for a node that doesn't know of it and renews nothing: the others wait until the lease has expired (2 s) and the pause after it was taken (2.5 s).

Change: without an answer the node ends the lease, so that the write is refused.

Evidence: test_decider_key_that_is_written_late_is_not_taken fails before, with the key in the store.

--- a/monsoontray/rollouts/decider.py
+++ b/monsoontray/rollouts/decider.py
@@ -6,7 +6,15 @@
 from typing import TYPE_CHECKING
 
 from monsoontray.logs import logger
-from monsoontray.store.outcomes import ABSENT, Cause, Conflict, Done, Lease, NotDone
+from monsoontray.store.outcomes import (
+    ABSENT,
+    Cause,
+    Conflict,
+    Done,
+    Lease,
+    NotDone,
+    Unknown,
+)
 
 if TYPE_CHECKING:
     from monsoontray.kernel.kernel import Kernel
@@ -95,6 +103,7 @@
             logger.bind(service=service).info("this node decides on rollouts")
             self._lease = lease
             return True
-        if isinstance(outcome, Conflict):
+        if isinstance(outcome, Conflict | Unknown):
+            # The store may still write the key, unless its lease has ended by then.
             self._client.revoke_lease(lease.lease_id)
         return False
--- a/tests/test_rollouts/test_service.py
+++ b/tests/test_rollouts/test_service.py
@@ -7,6 +7,7 @@
 
 from monsoontray.decisions.rollouts import Phase, ServerEvidence
 from monsoontray.discovery.messages import StoreChanged, StoreListed
+from monsoontray.rollouts.decider import DECIDER_KEY, MAX_INITIAL_DELAY_S
 from monsoontray.rollouts.messages import RolloutOrdered, UpdateRolloutPlans
 from monsoontray.rollouts.service import PLAN_PREFIX, Rollouts, handle_message
 from tests.fakes import FakeKernel
@@ -116,6 +117,17 @@
     assert read_states(kernel)[-1] == "done"
 
 
+# A lease that was acquired late kept all nodes from deciding until it expired.
+def test_decider_key_that_is_written_late_is_not_taken(kernel):
+    nodes = start_nodes(kernel, 2)
+    kernel.store.delays_writes = True
+    run_nodes(kernel, nodes, MAX_INITIAL_DELAY_S + 0.5)
+    assert DECIDER_KEY in {put.key for _, puts in kernel.store.delayed for put in puts}
+    kernel.store.delays_writes = False
+    kernel.store.do_delayed_writes()
+    assert DECIDER_KEY not in kernel.store.records
+
+
 def test_two_nodes_write_each_phase_once(kernel):
     nodes = start_nodes(kernel, 2)
     run_nodes(kernel, nodes, 10.0)
