Let a configuration without connections to a service end no node

What callers would see: all nodes beside the servers of a service end when a configuration sets its max_conns to 0, with every call that they hold.

Cause: the guard divides by the number of slots, the least of what the server announces and of the connections that the configuration allows. The decoder takes 0 for the latter; a ZeroDivisionError ends the node as any other exception in the forwarding task.

Change: the three divisions take one slot as the least. Such a server is offered no call, and its running calls end as usual.

Evidence: both tests of test_call_series.py raise ZeroDivisionError before, in guard.py and in capacity.py.

--- a/monsoontray/decisions/capacity.py
+++ b/monsoontray/decisions/capacity.py
@@ -142,7 +142,8 @@
         # In the shortest calls the area has too few digits to tell.
         most = max(self.slots, self._in_use + 1)
         concurrency = min(max(1.0, (self._area - started) / seconds), most)
-        load = max(0.0, math.log(concurrency / (self.slots * FULL_SPEED_SHARE)))
+        full_speed = max(1, self.slots) * FULL_SPEED_SHARE
+        load = max(0.0, math.log(concurrency / full_speed))
         logarithm = math.log(seconds)
         mean = self._route_times.get(route)
         if mean is None:
--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -154,7 +154,7 @@
         wait_s = 0.0
         if calls >= slots:
             ahead = self.waiting.count_on_time(now)
-            wait_s = self.service_s * (ahead + 1) / slots
+            wait_s = self.service_s * (ahead + 1) / max(1, slots)
         return LoadReport(
             calls, slots, self.service_s, self.failure_rate, run_s, wait_s
         )
@@ -194,7 +194,7 @@
             return Refusal(Reason.SERVER_LIMITED, Ran.NOT_RUN, wait_s, load)
         if not request.may_wait:
             self.busy_refusals += 1
-            wait_s = self.service_s / self.get_capacity()
+            wait_s = self.service_s / max(1, self.get_capacity())
             load = self.report_load(now, request.route)
             return Refusal(Reason.SLOTS_BUSY, Ran.NOT_RUN, wait_s, load)
         return self._queue(call, request, now)
--- a/tests/test_decisions/test_call_series.py
+++ b/tests/test_decisions/test_call_series.py
@@ -113,3 +113,20 @@
 def test_no_times_of_calls_fail_the_guard(way, seed):
     slots = Random(seed).choice((1, 2, 6, 9, 40))
     Play(seed, way, build_record(slots)).run()
+
+
+# A service whose configuration allows no connections ended the nodes of its servers.
+def test_server_without_connections_gets_no_call_and_fails_nothing():
+    play = Play(1, "random", build_record(6, connections=0))
+    play.run()
+    assert play.guard.in_use == 0
+
+
+def test_calls_end_at_a_server_whose_connections_were_withdrawn():
+    play = Play(1, "equal", build_record(6))
+    for call in range(6):
+        play.guard.request_slot(call, SlotRequest(1.0, 0), 0.0)
+    play.guard.update_record(build_record(6, connections=0), 0.0)
+    for call in range(6):
+        play.end(0.14, call, 0.14)
+    assert play.guard.in_use == 0
