Go on without the estimate of a server's capacity if it fails

Cause: the forwarding task owns every connection, and any exception in it ends the node. What a server takes well is an estimate that the node can do without: the slots that the server announces are a limit too.

Change: the guard asks the estimate through FallibleCapacity.

--- a/monsoontray/decisions/guard.py
+++ b/monsoontray/decisions/guard.py
@@ -11,6 +11,7 @@
 
 from monsoontray.decisions.capacity import Capacity
 from monsoontray.decisions.cold import ColdLimits, ColdWindow
+from monsoontray.decisions.fallible_capacity import FallibleCapacity
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
 from monsoontray.decisions.pace import Pace
 from monsoontray.decisions.rollouts import VersionSuspicion
@@ -87,7 +88,7 @@
         queue_limit: int,
         cold: ColdLimits | None = None,
         cold_start_at: float = -math.inf,
-        capacity: Capacity | None = None,
+        capacity: Capacity | FallibleCapacity | None = None,
     ) -> None:
         self.record = record
         self.capacity = capacity  # what the server takes; None: as it announces
@@ -250,9 +251,8 @@
 
     def describe_slowing(self) -> float | None:
         """Return the learned elasticity of the calls' time; None if not learned."""
-        if self.capacity is None:
-            return None
-        return round(self.capacity.get_estimate().elasticity, 2)
+        estimate = None if self.capacity is None else self.capacity.get_estimate()
+        return None if estimate is None else round(estimate.elasticity, 2)
 
     def observe_capacity(
         self, call: Any, route: str, seconds: float, now: float
--- a/monsoontray/forwarding/guards.py
+++ b/monsoontray/forwarding/guards.py
@@ -9,6 +9,7 @@
 
 from monsoontray.decisions.capacity import Capacity
 from monsoontray.decisions.cold import COLD_WINDOW_S, ColdLimits
+from monsoontray.decisions.fallible_capacity import FallibleCapacity
 from monsoontray.decisions.guard import GuardState
 from monsoontray.decisions.nesting import RouteCallers
 from monsoontray.decisions.outcomes import Ran, Reason, Refusal, refuse_not_run
@@ -241,16 +242,33 @@
 
     def _create_guard(self, record: ServerRecord) -> GuardState:
         limits = self._forwarder.limits
-        slots = min(record.slots, record.connections)
-        share = limits.capacity_min_share
         return GuardState(
             record,
             limits.guard_queue_length,
             self._cold_limits,
             self._cold_start_at,
-            Capacity(slots, share) if share < 1.0 else None,
+            self._create_capacity(record),
         )
 
+    def _create_capacity(self, record: ServerRecord) -> FallibleCapacity | None:
+        """Return an estimate of what a server takes; None if it is not limited."""
+        min_share = self._forwarder.limits.capacity_min_share
+        if min_share >= 1.0:
+            return None
+
+        def build(slots: int) -> Capacity:
+            return Capacity(slots, min_share)
+
+        def report_fault(error: Exception) -> None:
+            self._forwarder.metrics.count_estimate_fault()
+            logger.bind(server=record.server).error(
+                "estimate of the server's capacity failed; its announced slots hold",
+                exception=error,
+            )
+
+        slots = min(record.slots, record.connections)
+        return FallibleCapacity(slots, build, report_fault)
+
     def _log_loads(self) -> None:
         """Log what determines the share of the calls that the local servers get."""
         for name, guard in self._guards.items():
--- a/monsoontray/metrics/service.py
+++ b/monsoontray/metrics/service.py
@@ -84,6 +84,11 @@
             "Reads that proved that the configuration was the newest",
             registry=self.registry,
         )
+        self._estimate_faults = Counter(
+            "monsoontray_estimate_faults",
+            "Estimates of the capacity of local servers that failed",
+            registry=self.registry,
+        )
         self._server_ends = Counter(
             "monsoontray_server_ends",
             "Ends of local servers that were running requests",
@@ -196,6 +201,10 @@
         """Count a proof that the configuration was the newest."""
         self._proofs.inc()
 
+    def count_estimate_fault(self) -> None:
+        """Count an estimate of a server's capacity that failed."""
+        self._estimate_faults.inc()
+
     def count_server_end(self) -> None:
         """Count the end of a local server that was running requests."""
         self._server_ends.inc()
