Add restarts beside late writes, and bursts, to the soak

At the end every node must list every server (RECOVER). Nodes run with the least share of slots that deploy/node.json sets.

--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -10,7 +10,7 @@
 
 from urllib3.exceptions import HTTPError
 
-from bench.fleet import BackendHandle, Fleet, NodeHandle
+from bench.fleet import START_TIMEOUT_S, BackendHandle, Fleet, NodeHandle
 
 HOST = "shop.example"
 COLD_PER_S = 21.0  # calls a second that a cold server tolerates
@@ -124,12 +124,13 @@
         status = self.fleet.get_json(node.handle.operator_address, "/status")
         return 0 if status is None else int(status["forwarding"]["servers"])
 
-    def wait_for_servers(self, count: int) -> None:
+    def wait_for_servers(self, count: int, timeout_s: float = START_TIMEOUT_S) -> None:
         """Wait until every node lists exactly this many servers."""
         for node in self.nodes:
             self.fleet.wait_for(
                 partial(self._lists_servers, node, count),
                 f"{count} servers at {node.handle.name}",
+                timeout_s,
             )
 
     def _lists_servers(self, node: MeshNode, count: int) -> bool:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -19,7 +19,9 @@
     PauseNode,
     PauseServer,
     PublishConfiguration,
+    RestartBesideLateWrites,
     RestoreStore,
+    SendBurst,
     SendFatalRequests,
     SendOddHeartbeat,
     SetServerBehaviour,
@@ -33,6 +35,7 @@
     from bench.mesh import MeshNode
     from bench.soak.runner import Soak
 
+LATE_WRITE_MS, LATE_WRITE_SHARE = 3_000.0, 0.4
 COLD_S = 5.0  # time for which a replaced server is cold; longer than most faults
 
 
@@ -73,6 +76,23 @@
     soak.restart_node(node)
 
 
+@begin_fault.register(RestartBesideLateWrites)
+def _(action: RestartBesideLateWrites, soak: Soak, node: MeshNode) -> None:
+    soak.set_store_behaviour(late_ms=LATE_WRITE_MS, late_share=LATE_WRITE_SHARE)
+    soak.mesh.fleet.kill_node(node.handle)
+    soak.restart_node(node)
+
+
+@finish_fault.register(RestartBesideLateWrites)
+def _(action: RestartBesideLateWrites, soak: Soak, node: MeshNode) -> None:
+    soak.set_store_behaviour()
+
+
+@begin_fault.register(SendBurst)
+def _(action: SendBurst, soak: Soak, node: MeshNode) -> None:
+    soak.send_burst(node)
+
+
 @begin_fault.register(PauseNode)
 def _(action: PauseNode, soak: Soak, node: MeshNode) -> None:
     assert node.handle.process is not None
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -73,6 +73,16 @@
     value: Any = True
 
 
+@dataclass(slots=True, frozen=True)
+class RestartBesideLateWrites:
+    """Kill and restart a node while the store does some writes late."""
+
+
+@dataclass(slots=True, frozen=True)
+class SendBurst:
+    """Send many equal reads to a node at once, which end together."""
+
+
 @dataclass(slots=True, frozen=True)
 class SetStoreBehaviour:
     """Change one setting of the store's behaviour."""
@@ -160,6 +170,10 @@
 #: Drawn apart as well, for the seeds that have callers which stop reading.
 SLOW_SERVER_FAULT = SetServerBehaviour("read_after_ms", 2_500.0)
 SLOW_READER_INTERVAL = 2
+#: Drawn apart as well, for seeds that are no regression cases.
+LATE_FAULT = RestartBesideLateWrites()
+BURST = SendBurst()
+LATE_INTERVAL, LATE_REMAINDERS = 7, (0, 2, 5)
 GROUPS = (NODE_FAULTS, SERVER_FAULTS, NETWORK_FAULTS, STORE_FAULTS, ORDERS, VM_FAULTS)
 #: Actions of regular operation: no call may be lost if only these happen.
 PLANNED_ACTIONS: tuple[Any, ...] = (StopNode(), DrainServer(), PublishConfiguration())
@@ -194,7 +208,7 @@
                 ("node", NODE_FAULTS),
                 ("server", (*SERVER_FAULTS, SLOW_SERVER_FAULT)),
             )
-            if self.action in (*group, *VM_FAULTS, COLD_FAULT)
+            if self.action in (*group, *VM_FAULTS, COLD_FAULT, LATE_FAULT)
         }
         return frozenset(
             (name, self.node_index) for name in names or {repr(self.action)}
@@ -224,6 +238,8 @@
         faults += _draw_customer_faults(seed, duration_s, nodes)
     if has_slow_readers(seed) and seed % PLANNED_ONLY_INTERVAL:
         faults += _draw_slow_servers(seed, duration_s, nodes)
+    if seed % LATE_INTERVAL in LATE_REMAINDERS and seed % PLANNED_ONLY_INTERVAL:
+        faults += _draw_late_writes_and_bursts(seed, duration_s, nodes)
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
@@ -277,3 +293,20 @@
         )
         for _ in range(random.randint(2, 4))
     ]
+
+
+def _draw_late_writes_and_bursts(
+    seed: int, duration_s: float, nodes: int
+) -> list[SoakFault]:
+    """Return restarts of nodes while the store does some writes late, and bursts."""
+    random = Random(f"{seed} late writes")
+    return [
+        SoakFault(
+            round(random.uniform(0.0, duration_s), 2),
+            round(random.uniform(MIN_FAULT_S, MAX_FAULT_S), 2),
+            action,
+            random.randrange(nodes),
+        )
+        for action in (LATE_FAULT, BURST)
+        for _ in range(random.randint(2, 4))
+    ]
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -70,6 +70,9 @@
 RECOVERY_TIMEOUT_S = 15.0  # after the last fault, as on the platform
 PROBE_CALLS = 5  # consecutive calls that a recovered node must serve
 STOP_NOTICE_MS = 1_000
+BURST_CALLS = 60
+BURST_TIMEOUT_S = 1.0
+CAPACITY_MIN_SHARE = 0.5  # as deployed
 STOP_TIMEOUT_S = 25.0  # the limit of a node's grace period plus a margin
 
 
@@ -98,6 +101,7 @@
     withdrawn_at: dict[int, float] = field(default_factory=dict)  # by number of the key
     thawed_at: list[float] = field(default_factory=list)
     _instance_numbers: Iterator[int] = field(default_factory=count)
+    _bursts: list[Router] = field(default_factory=list)  # their open connections
 
     @property
     def runs_file(self) -> Path:
@@ -116,6 +120,7 @@
                 "stop_notice_ms": STOP_NOTICE_MS,
                 "cold_factor": COLD_FACTOR,
                 "cold_slack": COLD_SLACK,
+                "capacity_min_share": CAPACITY_MIN_SHARE,
             }
             if self.has_customers:
                 settings["key_withdrawal_s"] = KEY_WITHDRAWAL_S
@@ -206,6 +211,20 @@
             finally:
                 router.close()
 
+    def send_burst(self, node: MeshNode) -> None:
+        """Send equal reads to a node at once; nobody waits for their responses."""
+        name = f"burst-{next(self._instance_numbers)}"
+        calls = (f"{name}-{number}" for number in range(BURST_CALLS))
+        requests = [build_mesh_request(f"/read/{call}", call) for call in calls]
+        with contextlib.suppress(OSError):
+            self._bursts.append(Router(node.handle.entry_address, BURST_TIMEOUT_S))
+            self._bursts[-1].send(b"".join(requests))
+
+    def close_bursts(self) -> None:
+        """Close the connections of all bursts."""
+        for router in self._bursts:
+            router.close()
+
     def announce(self, node: MeshNode, call: str, **fields: Any) -> bool:
         """Send an announcement for a node's server; return whether it was accepted."""
         assert node.backend is not None
@@ -339,6 +358,14 @@
         except (OSError, CutResponseError):
             return False
 
+    def find_hidden_servers(self) -> list[str]:
+        """Return the first node that does not list all servers in time, if any."""
+        try:
+            self.mesh.wait_for_servers(len(self.mesh.nodes), RECOVERY_TIMEOUT_S)
+        except FleetError as error:
+            return [f"RECOVER: {error}"]
+        return []
+
     def find_crashed_nodes(self, faults: tuple[SoakFault, ...]) -> list[str]:
         """Return the nodes whose processes ended although no fault stopped them."""
         stopped_by_fault = {
@@ -376,8 +403,10 @@
                 soak.wait_until_serving(node)
             except FleetError as error:
                 broken.append(f"RECOVER: {error}")
+        broken += soak.find_hidden_servers()
         for caller in callers:
             caller.stop()
+        soak.close_bursts()
         broken += soak.broken + soak.find_crashed_nodes(faults)
         runs, late_calls, cold_arrivals = read_runs(soak.runs_file)
     outcomes = [each for caller in callers for each in caller.outcomes]
--- a/bench/standins/records.py
+++ b/bench/standins/records.py
@@ -20,6 +20,7 @@
     latency_ms: float = 0.0
     lose_answers: bool = False  # writes take effect, without a response
     late_ms: float = 0.0  # writes take effect after this delay, without a response
+    late_share: float = 1.0  # of the writes for which this holds
     stale: bool = False  # reads that allow it return the state when this was set
     writes_per_s: float = 0.0  # 0 means no limit
     reads_per_s: float = 0.0
@@ -84,6 +85,7 @@
     call_counts: Counter[str] = field(default_factory=Counter)
     recent_calls: deque[tuple[float, str]] = field(default_factory=deque)
     faults: Faults = field(default_factory=Faults)
+    late_count: float = 0.0  # writes that should have been late, and weren't
     delayed_writes: set[asyncio.Task[None]] = field(default_factory=set)
     stale_entries: dict[str, Entry] = field(default_factory=dict)
     era: int = 0  # rises when the store comes back from its copy
--- a/bench/standins/store.py
+++ b/bench/standins/store.py
@@ -126,7 +126,7 @@
         await self._begin_call(request, "write")
         body = msgspec.json.decode(await request.read(), type=WriteRequest)
         self._expire_leases()
-        if self.state.faults.late_ms:
+        if self._is_write_late():
             delay_s = self.state.faults.late_ms / MS_PER_S
             self.state.delayed_writes.add(
                 asyncio.create_task(self._write_delayed(body, delay_s))
@@ -243,6 +243,16 @@
         if faults.latency_ms:
             await asyncio.sleep(faults.latency_ms / MS_PER_S)
 
+    def _is_write_late(self) -> bool:
+        """Return whether a write takes effect late, evenly for a share of them."""
+        faults = self.state.faults
+        if not faults.late_ms:
+            return False
+        self.state.late_count += faults.late_share
+        is_late = self.state.late_count >= 1.0
+        self.state.late_count -= is_late
+        return is_late
+
     async def _write_delayed(self, body: WriteRequest, delay_s: float) -> None:
         await asyncio.sleep(delay_s)
         if self._check_write(body) is None:
--- a/tests/test_bench/test_soak.py
+++ b/tests/test_bench/test_soak.py
@@ -17,9 +17,11 @@
     check_reports,
 )
 from bench.soak.plan import (
+    BURST,
     COLD_FAULT,
     CUSTOMER_FAULTS,
     GROUPS,
+    LATE_FAULT,
     PLANNED_ONLY_INTERVAL,
     SLOW_SERVER_FAULT,
     draw_faults,
@@ -105,7 +107,8 @@
     assert all(fault.is_planned for fault in planned)
     drawn = {f.action for seed in range(1, 60) for f in draw_faults(seed, 15.0, 6)}
     usual = {action for group in GROUPS for action in group}
-    assert drawn == {COLD_FAULT, SLOW_SERVER_FAULT, *CUSTOMER_FAULTS, *usual}
+    apart = {COLD_FAULT, SLOW_SERVER_FAULT, LATE_FAULT, BURST}
+    assert drawn == {*apart, *CUSTOMER_FAULTS, *usual}
     assert not any(map(has_customers, REGRESSIONS))
     assert [seed for seed in REGRESSIONS if has_slow_readers(seed)] == [90010]
     # The other faults of a seed do not depend on these.
