Let a node take over its own late claim of the usage duty

Cause: a claim without an answer is read back, but if the watch shows it first, the node takes it for another node's claim and looks again after 30 s. It renews nothing meanwhile, so that the duty rests until the claim's lease has ended.

Change: a holder's record with this node's lease is read back at once.

Evidence: test_own_claim_that_is_done_late_is_taken_over fails before; the walks of test_duty_model.py hold as before.

--- a/monsoontray/decisions/duty.py
+++ b/monsoontray/decisions/duty.py
@@ -120,6 +120,14 @@
             self._attempt_at = now + delay_s + self._random.random() * RANK_DELAY_S
             self._must_read = True
 
+    def see_claim(self, holder: Holder, now: float) -> None:
+        """Handle the claim of a holder, which may be this node's own, done late."""
+        if not self._is_own(holder):
+            self.see_holder(True, now)
+        elif not self.is_held:
+            self._attempt_at = self._retry_at = now
+            self._must_read = True
+
     def raise_floor(self, token: int, recorded: int) -> None:
         """Take over the latest token and window that other nodes know of."""
         if not self.is_held:
--- a/monsoontray/usage/duty.py
+++ b/monsoontray/usage/duty.py
@@ -107,9 +107,11 @@
         for record in records:
             if record.key == HOLDER_KEY:
                 holder = self._decode_holder(record)
-                if holder is not None:
+                if holder is None:
+                    self.duty.see_holder(True, self.clock.now())
+                else:
                     self.duty.raise_floor(holder.token, 0)
-                self.duty.see_holder(True, self.clock.now())
+                    self.duty.see_claim(holder, self.clock.now())
                 self.kernel.post("usage", HolderChanged(holder))
                 return
         if is_listing:
--- a/tests/test_usage/test_duty.py
+++ b/tests/test_usage/test_duty.py
@@ -143,6 +143,21 @@
     assert platform.get_tokens()[-1] == 2
 
 
+# A node took its own claim, done late, for another node's: nobody reported for a while.
+def test_own_claim_that_is_done_late_is_taken_over(kernel, platform):
+    task = build_task(kernel, platform, "n0")
+    kernel.store.delays_writes = True
+    while not kernel.store.delayed:
+        run(kernel, 0.05, task)
+    kernel.store.delays_writes = False
+    kernel.store.do_delayed_writes()
+    claim = kernel.store.records[HOLDER_KEY]
+    handle_message(StoreChanged((claim,), (), claim.revision), task)
+    run(kernel, 2.0, task)
+    assert task.duty.is_held
+    assert kernel.store.records[HOLDER_KEY] == claim
+
+
 def test_stopped_holder_releases_the_duty(kernel, platform):
     task = build_task(kernel, platform, "n0")
     run(kernel, 8.0, task)
