--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -170,7 +170,7 @@
 #: Drawn apart as well, for the seeds that have callers which stop reading.
 SLOW_SERVER_FAULT = SetServerBehaviour("read_after_ms", 2_500.0)
 SLOW_READER_INTERVAL = 2
-#: Drawn apart as well, for seeds that are no regression cases.
+#: Drawn apart as well, for the seeds that leave these remainders.
 LATE_FAULT = RestartBesideLateWrites()
 BURST = SendBurst()
 LATE_INTERVAL, LATE_REMAINDERS = 7, (0, 2, 5)
