Expect no record of a node whose lease has ended

Cause: writes are conditional on the position of the record. Where a lease has ended, its record has ended with it, and the first write at the old position is refused: one more call to the store for each node, just after an outage.

Change: the publisher forgets the position with the lease, and membership when it reads that the record was removed.

--- a/monsoontray/discovery/publisher.py
+++ b/monsoontray/discovery/publisher.py
@@ -147,7 +147,7 @@
         self._value = b""
         if self._lease is not None:
             self._client.revoke_lease(self._lease.lease_id)
-            self._lease = None
+            self._drop_lease()
 
     def close(self) -> None:
         """Write what is left, revoke the lease of the node and close the client."""
@@ -176,10 +176,15 @@
             return True
         if outcome == NotDone(Cause.LEASE_EXPIRED):
             logger.warning("lease of the node's record expired")
-            self._lease = None
+            self._drop_lease()
             self._is_written = False
         return False
 
+    def _drop_lease(self) -> None:
+        """Forget the lease, and the record that ended with it."""
+        self._lease = None
+        self._node_key.position = ABSENT
+
     def _set_era(self, era: int) -> None:
         """Write the departures again if the store may have lost them."""
         if self._era is not None and era != self._era:
@@ -199,7 +204,7 @@
                 break
             self._node_key.position = outcome.revision
         if outcome == NotDone(Cause.LEASE_EXPIRED):
-            self._lease = None
+            self._drop_lease()
         self._is_written = isinstance(outcome, Done)
         return self._is_written
 
--- a/monsoontray/discovery/service.py
+++ b/monsoontray/discovery/service.py
@@ -160,6 +160,7 @@
             name = record.key.removeprefix(NODE_KEY_PREFIX)
             if record.key == self._key:
                 logger.warning("own record was removed from the store")
+                self._position = ABSENT
                 self._publish()
             else:
                 logger.bind(peer=name).info("node is no longer listed")
--- a/tests/test_discovery/test_publisher.py
+++ b/tests/test_discovery/test_publisher.py
@@ -52,6 +52,7 @@
     assert KEY not in kernel.store.records
     run(publisher, kernel, 1.5)
     assert kernel.store.records[KEY].value == b"me"
+    assert kernel.store.writes == 2  # neither is refused for its position
 
 
 def test_record_is_written_within_two_seconds_after_an_outage(kernel):
