--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -255,14 +255,9 @@
 
 def _draw_slow_servers(seed: int, duration_s: float, nodes: int) -> list[SoakFault]:
     random = Random(f"{seed} slow servers")
+    count = random.randint(1, 2)
     return [
-        SoakFault(
-            round(random.uniform(0.0, duration_s), 2),
-            round(random.uniform(MIN_FAULT_S, MAX_FAULT_S), 2),
-            SLOW_SERVER_FAULT,
-            random.randrange(nodes),
-        )
-        for _ in range(random.randint(1, 2))
+        _draw_fault(random, SLOW_SERVER_FAULT, duration_s, nodes) for _ in range(count)
     ]
 
 
@@ -284,15 +279,8 @@
 def _draw_cold_faults(seed: int, duration_s: float, nodes: int) -> list[SoakFault]:
     """Return kills of nodes beside cold servers, which follow each other closely."""
     random = Random(f"{seed} cold")
-    return [
-        SoakFault(
-            round(random.uniform(0.0, duration_s), 2),
-            round(random.uniform(MIN_FAULT_S, MAX_FAULT_S), 2),
-            COLD_FAULT,
-            random.randrange(nodes),
-        )
-        for _ in range(random.randint(2, 4))
-    ]
+    count = random.randint(2, 4)
+    return [_draw_fault(random, COLD_FAULT, duration_s, nodes) for _ in range(count)]
 
 
 def _draw_late_writes_and_bursts(
@@ -301,12 +289,19 @@
     """Return restarts of nodes while the store does some writes late, and bursts."""
     random = Random(f"{seed} late writes")
     return [
-        SoakFault(
-            round(random.uniform(0.0, duration_s), 2),
-            round(random.uniform(MIN_FAULT_S, MAX_FAULT_S), 2),
-            action,
-            random.randrange(nodes),
-        )
+        _draw_fault(random, action, duration_s, nodes)
         for action in (LATE_FAULT, BURST)
         for _ in range(random.randint(2, 4))
     ]
+
+
+def _draw_fault(
+    random: Random, action: Any, duration_s: float, nodes: int
+) -> SoakFault:
+    """Return a fault with an action at a random time and node."""
+    return SoakFault(
+        round(random.uniform(0.0, duration_s), 2),
+        round(random.uniform(MIN_FAULT_S, MAX_FAULT_S), 2),
+        action,
+        random.randrange(nodes),
+    )
